--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Targets: run (main job), test (every check), fuzz (longer proofs), bench, generate (maintainers only).
+GO ?= go
+BIN := bin
+SOURCES := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: build run test lint fuzz bench generate clean
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+run: build
+	bash scripts/run.sh
+
+lint:
+	@test -z "$$(gofmt -l $(SOURCES))" || { gofmt -l $(SOURCES); echo "gofmt: files above need formatting"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+test: lint
+	bash scripts/test.sh
+
+FUZZ_CHECKS ?= 2000
+fuzz:
+	$(GO) test -count=1 -run 'Machine|Property' ./... -rapid.checks=$(FUZZ_CHECKS)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 1s ./...
+
+generate:
+	sh scripts/generate.sh
+
+clean:
+	rm -rf $(BIN)
