--- /dev/null
+++ b/bwaccount/writer.go
@@ -0,0 +1,130 @@
+package bwaccount
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwstore"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	// FlushInterval is the time between two batches; accounts younger than that are
+	// lost when the only entry that knows them is killed.
+	FlushInterval = time.Second
+	// RingSlots is the number of batches that one run of an entry keeps.
+	RingSlots = 512
+	// maxBatchAccounts keeps a batch within the size limit of the store.
+	maxBatchAccounts = 1500
+	flushTimeout     = 5 * time.Second
+	prefix           = "accounts/"
+)
+
+// store is what a Writer needs of the key-value service.
+type store interface {
+	Put(ctx context.Context, class bwstore.Class, key string, value []byte, expected int64, lease bwstore.LeaseID) bwstore.WriteResult
+	List(ctx context.Context, prefix string) (bwstore.Listing, error)
+}
+
+// Writer stores the accounts of a book.
+type Writer struct {
+	book        *Book
+	store       store
+	incarnation string
+	log         hclog.Logger
+	sequence    int64
+	revisions   map[int64]int64
+}
+
+// NewWriter returns a writer for one run of an entry.
+func NewWriter(b *Book, s store, incarnation string, log hclog.Logger) *Writer {
+	return &Writer{book: b, store: s, incarnation: incarnation, log: log, revisions: make(map[int64]int64)}
+}
+
+// Run stores new accounts at each FlushInterval until ctx ends.
+func (w *Writer) Run(ctx context.Context) {
+	t := time.NewTicker(FlushInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			w.Flush(ctx)
+		}
+	}
+}
+
+// Flush stores every waiting account. Accounts whose write failed wait for the next flush.
+func (w *Writer) Flush(ctx context.Context) {
+	for {
+		list := w.book.takeDirty(maxBatchAccounts)
+		if len(list) == 0 {
+			return
+		}
+		if !w.write(ctx, list) {
+			w.book.markDirty(list)
+			return
+		}
+	}
+}
+
+func (w *Writer) write(ctx context.Context, list []*Account) bool {
+	value, err := bwcodec.Pack(&Batch{Accounts: list})
+	if err != nil {
+		w.log.Error("accounts could not be encoded", "error", err)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	slot := w.sequence % RingSlots
+	key := fmt.Sprintf("%s%s/%03d", prefix, w.incarnation, slot)
+	r := w.store.Put(ctx, bwstore.ClassAccounts, key, value, w.revisions[slot], bwstore.NoLease)
+	if r.Status() == bwstore.NotWritten {
+		w.log.Warn("accounts wait for the store", "count", len(list))
+		return false
+	}
+	// A doubtful write leaves its slot behind; the accounts are written again to the next one.
+	w.sequence++
+	w.revisions[slot] = r.Revision()
+	return r.Status() == bwstore.Written
+}
+
+// Stored reads the selected accounts of the given incarnation from the store, or of
+// every incarnation when it is empty.
+func Stored(ctx context.Context, s store, incarnation string, q Query) ([]*Account, error) {
+	from := prefix
+	if incarnation != "" {
+		from += incarnation + "/"
+	}
+	listing, err := s.List(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	var found []*Account
+	for _, e := range listing.Entries() {
+		b := new(Batch)
+		if err := bwcodec.Unpack(e.Value(), b); err != nil {
+			return nil, err
+		}
+		for _, a := range b.GetAccounts() {
+			if q.Matches(a) {
+				found = append(found, a)
+			}
+		}
+	}
+	return found, nil
+}
+
+// IncarnationOf returns the incarnation of the entry that issued a request id; it is
+// empty when the id has another form.
+func IncarnationOf(requestID string) string {
+	i := strings.LastIndexByte(requestID, '-')
+	if i < 0 {
+		return ""
+	}
+	return requestID[:i]
+}
--- /dev/null
+++ b/bwclaim/owner.go
@@ -0,0 +1,367 @@
+// Package bwclaim makes sure that a non-idempotent request runs at most once.
+//
+// Each idempotency key belongs to a shard, and each shard has a log in the store. An
+// attempt may dispatch its request only after the log holds its claim of the key. The
+// log is a ring of store keys: batch n goes to slot n modulo RingSlots, by
+// compare-and-swap against the revision of the batch that stood there before. Whoever
+// writes batch n has therefore read every batch before it, and an owner that was
+// paused or replaced cannot write. No lease is needed for safety, and no key is ever
+// deleted, since a deleted key could be created again by a paused owner.
+//
+// Shard holds the state and the decisions of one shard. Owner executes them: it
+// collects claims and outcomes for a short time and commits them as one batch.
+package bwclaim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwoutcome"
+	"basilwood.example/basilwood/bwstore"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	gatherTime     = 5 * time.Millisecond
+	settleDelay    = 500 * time.Millisecond
+	commitTimeout  = 1500 * time.Millisecond
+	storeDownPause = 300 * time.Millisecond
+	maxBatchOps    = 500
+	commitTries    = 3
+	queueLength    = 1024
+)
+
+// store is what an Owner needs of the key-value service.
+type store interface {
+	List(ctx context.Context, prefix string) (bwstore.Listing, error)
+	Put(ctx context.Context, class bwstore.Class, key string, value []byte, expected int64, lease bwstore.LeaseID) bwstore.WriteResult
+}
+
+// Answer is the reply to a claim or to a settlement.
+type Answer struct {
+	verdict Verdict
+	record  *Record
+}
+
+// NewAnswer returns an answer that another process gave.
+func NewAnswer(v Verdict, r *Record) Answer { return Answer{verdict: v, record: r} }
+
+// Verdict returns the decision.
+func (a Answer) Verdict() Verdict { return a.verdict }
+
+// Record returns the record that stands in the way, when there is one.
+func (a Answer) Record() *Record { return a.record }
+
+// Verdict is the result of a claim or of a settlement.
+type Verdict int
+
+// The verdicts.
+const (
+	// Unavailable means that the log could not be read or written and holds nothing new.
+	Unavailable Verdict = iota
+	// Doubted means that the record may stand in the log.
+	Doubted
+	// Granted means that the log holds the attempt's claim.
+	Granted
+	// HeldByOther means that another attempt holds the key.
+	HeldByOther
+	// Recorded means that the key has an outcome.
+	Recorded
+	// NoRoom means that the shard is full.
+	NoRoom
+	// Noted means that a settlement stands in the log.
+	Noted
+)
+
+// String returns the verdict in lower camel case.
+func (v Verdict) String() string {
+	names := [...]string{"unavailable", "doubted", "granted", "heldByOther", "recorded", "noRoom", "noted"}
+	return names[v]
+}
+
+// Owner commits claims for the shards that it is asked about. It is safe for
+// concurrent use.
+type Owner struct {
+	store store
+	name  string
+	clock bwclock.Clock
+	log   hclog.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu     sync.Mutex
+	shards map[int]chan operation
+}
+
+// operation is one claim or settlement on its way to the log.
+type operation struct {
+	record *Record
+	window time.Duration
+	answer chan Answer
+}
+
+// NewOwner returns an owner that signs its batches with name.
+func NewOwner(s store, name string, c bwclock.Clock, log hclog.Logger) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Owner{
+		store:  s,
+		name:   name,
+		clock:  c,
+		log:    log,
+		ctx:    ctx,
+		cancel: cancel,
+		shards: make(map[int]chan operation),
+	}
+}
+
+// Claim asks for the record's key on behalf of its attempt, for the given window.
+func (o *Owner) Claim(ctx context.Context, r *Record, window time.Duration) Answer {
+	return o.submit(ctx, operation{record: r, window: window, answer: make(chan Answer, 1)})
+}
+
+// Settle records the outcome or the release of an attempt.
+func (o *Owner) Settle(ctx context.Context, r *Record) Answer {
+	return o.submit(ctx, operation{record: r, answer: make(chan Answer, 1)})
+}
+
+// Close stops the owner and waits for its goroutines.
+func (o *Owner) Close() {
+	o.cancel()
+	o.group.Wait()
+}
+
+func (o *Owner) submit(ctx context.Context, op operation) Answer {
+	select {
+	case o.lane(ShardOf(op.record.GetKey())) <- op:
+	case <-ctx.Done():
+		return Answer{}
+	case <-o.ctx.Done():
+		return Answer{}
+	}
+	select {
+	case a := <-op.answer:
+		return a
+	case <-ctx.Done():
+		return Answer{verdict: Doubted}
+	case <-o.ctx.Done():
+		return Answer{verdict: Doubted}
+	}
+}
+
+// lane returns the queue of a shard and starts its goroutine on first use.
+func (o *Owner) lane(shard int) chan<- operation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ops, ok := o.shards[shard]
+	if !ok {
+		ops = make(chan operation, queueLength)
+		o.shards[shard] = ops
+		l := &lane{owner: o, shard: shard, ops: ops}
+		o.group.Go(func() { l.run(o.ctx) })
+	}
+	return ops
+}
+
+// lane commits the operations of one shard, one batch at a time.
+type lane struct {
+	owner     *Owner
+	shard     int
+	ops       <-chan operation
+	state     *Shard
+	downUntil bwclock.Time
+}
+
+func (l *lane) run(ctx context.Context) {
+	for {
+		batch, ok := l.gather(ctx)
+		if !ok {
+			return
+		}
+		l.commit(ctx, batch)
+	}
+}
+
+// gather waits for the first operation and collects those that follow within a short
+// time. Settlements alone wait longer, because nobody waits for them.
+func (l *lane) gather(ctx context.Context) ([]operation, bool) {
+	var batch []operation
+	select {
+	case <-ctx.Done():
+		return nil, false
+	case op := <-l.ops:
+		batch = append(batch, op)
+	}
+	timer := time.NewTimer(delayFor(batch[0]))
+	defer timer.Stop()
+	for len(batch) < maxBatchOps {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case op := <-l.ops:
+			if isClaim(op) && !isClaim(batch[0]) {
+				timer.Reset(gatherTime)
+			}
+			batch = append(batch, op)
+		case <-timer.C:
+			return batch, true
+		}
+	}
+	return batch, true
+}
+
+func isClaim(op operation) bool { return op.record.GetState() == State_claimed }
+
+func delayFor(op operation) time.Duration {
+	if isClaim(op) {
+		return gatherTime
+	}
+	return settleDelay
+}
+
+// commit decides on the operations and writes their records. When another owner has
+// written in between, it reads the log again and decides anew.
+func (l *lane) commit(ctx context.Context, batch []operation) {
+	if l.owner.clock.Now() < l.downUntil {
+		reply(batch, Answer{})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	failure := Answer{}
+	for range commitTries {
+		if !l.load(ctx) {
+			break
+		}
+		answers, records := l.decide(batch)
+		status := l.write(ctx, records)
+		if status == bwstore.Written {
+			for i, op := range batch {
+				op.answer <- answers[i]
+			}
+			return
+		}
+		l.state = nil
+		if status == bwstore.Doubtful {
+			failure.verdict = Doubted
+		}
+		if status != bwstore.Conflict {
+			break
+		}
+	}
+	l.downUntil = l.owner.clock.Now().Add(storeDownPause)
+	reply(batch, failure)
+}
+
+func reply(batch []operation, a Answer) {
+	for _, op := range batch {
+		op.answer <- a
+	}
+}
+
+// load reads the shard's log unless its state is known.
+func (l *lane) load(ctx context.Context) bool {
+	if l.state != nil {
+		return true
+	}
+	listing, err := l.owner.store.List(ctx, Prefix(l.shard))
+	if err != nil {
+		l.owner.log.Warn("claim log could not be read", "shard", l.shard, "error", err)
+		return false
+	}
+	stored := make([]StoredBatch, 0, len(listing.Entries()))
+	for _, e := range listing.Entries() {
+		b := new(Batch)
+		if err := bwcodec.Unpack(e.Value(), b); err != nil {
+			l.owner.log.Error("claim log holds an invalid batch", "key", e.Key(), "error", err)
+			return false
+		}
+		stored = append(stored, NewStoredBatch(b, e.Revision()))
+	}
+	l.state = Replay(stored)
+	return true
+}
+
+// decide answers each operation as if the ones before it were committed, and returns
+// the records to commit.
+func (l *lane) decide(batch []operation) ([]Answer, []*Record) {
+	now := l.owner.clock.Now()
+	answers := make([]Answer, len(batch))
+	var records []*Record
+	inBatch := make(map[string]*Record)
+	for i, op := range batch {
+		if !isClaim(op) {
+			// A release is written even for an absent key: its batch takes the slot of any
+			// earlier batch that is still on its way.
+			records = append(records, l.trim(op.record))
+			answers[i] = Answer{verdict: Noted}
+			continue
+		}
+		if held := inBatch[op.record.GetKey()]; held != nil {
+			answers[i] = answerHeld(held, op.record)
+			continue
+		}
+		answers[i] = l.decideClaim(op, now)
+		if answers[i].verdict == Granted && answers[i].record == nil {
+			op.record.AtMillis = now.Millis()
+			op.record.ExpiresMillis = now.Add(op.window).Millis()
+			inBatch[op.record.GetKey()] = op.record
+			records = append(records, op.record)
+		}
+	}
+	return answers, records
+}
+
+func answerHeld(held, wanted *Record) Answer {
+	if held.GetAttempt() == wanted.GetAttempt() {
+		return Answer{verdict: Granted, record: held}
+	}
+	return Answer{verdict: HeldByOther, record: held}
+}
+
+func (l *lane) decideClaim(op operation, now bwclock.Time) Answer {
+	key := op.record.GetKey()
+	switch l.state.Decide(key, op.record.GetAttempt(), now) {
+	case Grant:
+		return Answer{verdict: Granted}
+	case SameHolder:
+		return Answer{verdict: Granted, record: l.state.Record(key, now)}
+	case Settled:
+		return Answer{verdict: Recorded, record: l.state.Record(key, now)}
+	case Full:
+		return Answer{verdict: NoRoom}
+	}
+	return Answer{verdict: HeldByOther, record: l.state.Record(key, now)}
+}
+
+// trim drops an answer that is too large to keep.
+func (l *lane) trim(r *Record) *Record {
+	isSmall := len(r.GetOutcome().GetBody()) <= MaxKeptBody && l.state.bytes <= MaxBytesForBodies
+	r.BodyKept = r.GetOutcome().GetKind() == bwoutcome.Kind_ran && isSmall
+	if r.GetOutcome() != nil && !isSmall {
+		r.Outcome.Body = nil
+	}
+	return r
+}
+
+// write commits the records as the next batch.
+func (l *lane) write(ctx context.Context, records []*Record) bwstore.WriteStatus {
+	if len(records) == 0 {
+		return bwstore.Written
+	}
+	b := l.state.NextBatch(l.owner.name, records, l.owner.clock.Now())
+	value, err := bwcodec.Pack(b)
+	if err != nil {
+		return bwstore.NotWritten
+	}
+	key := SlotKey(l.shard, b.GetSequence())
+	r := l.owner.store.Put(ctx, bwstore.ClassClaims, key, value, l.state.ExpectedRevision(), bwstore.NoLease)
+	if r.Status() == bwstore.Written {
+		l.state.Apply(b, r.Revision())
+	}
+	return r.Status()
+}
--- /dev/null
+++ b/bwpool/pool.go
@@ -0,0 +1,233 @@
+// Package bwpool holds pools, their availability budgets and the permits that spend
+// them.
+//
+// A permit allows one host of a pool to be out of service for maintenance or for a
+// move to another pool. All permits of a pool stand in the pool's one store value, so
+// the compare-and-swap that adds a permit also proves that the budget still allowed
+// it. Grant and the wave functions are pure: they take the pool, what is known of its
+// hosts and the time, and return what to do. Their execution is the controller's.
+package bwpool
+
+import (
+	"fmt"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwprofile"
+)
+
+// HostView is what a budget decision needs to know about one host of the pool.
+type HostView struct {
+	name       string
+	rack       string
+	dataCentre string
+	isDown     bool
+}
+
+// NewHostView returns a view of a host; isDown says that it does not serve.
+func NewHostView(name, rack, dataCentre string, isDown bool) HostView {
+	return HostView{name: name, rack: rack, dataCentre: dataCentre, isDown: isDown}
+}
+
+// Name returns the host's name.
+func (h HostView) Name() string { return h.name }
+
+// IsDown reports whether the host does not serve.
+func (h HostView) IsDown() bool { return h.isDown }
+
+// Refusal says why a permit was not granted.
+type Refusal int
+
+// The reasons for refusing a permit.
+const (
+	// Allowed means that the permit may be granted.
+	Allowed Refusal = iota
+	BudgetSpent
+	RackLimit
+	DataCentreLimit
+	AlreadyPermitted
+	NotInPool
+)
+
+// String returns the refusal in plain words.
+func (r Refusal) String() string {
+	switch r {
+	case Allowed:
+		return "allowed"
+	case BudgetSpent:
+		return "the availability budget is spent"
+	case RackLimit:
+		return "the limit for the rack is reached"
+	case DataCentreLimit:
+		return "the limit for the data centre is reached"
+	case AlreadyPermitted:
+		return "the host already has a permit"
+	}
+	return "the host is not in the pool"
+}
+
+// Usage is the part of a budget in use.
+type Usage struct {
+	total        int
+	byRack       map[string]int
+	byDataCentre map[string]int
+	unavailable  map[string]bool
+}
+
+// Total returns the number of hosts out of service or permitted to be.
+func (u Usage) Total() int { return u.total }
+
+// UsageOf counts each host of the pool that is down or holds a permit, once.
+func UsageOf(p *Pool, hosts []HostView) Usage {
+	u := Usage{byRack: make(map[string]int), byDataCentre: make(map[string]int), unavailable: make(map[string]bool)}
+	permitted := make(map[string]bool)
+	for _, permit := range p.GetPermits() {
+		permitted[permit.GetHost()] = true
+	}
+	for _, h := range hosts {
+		if !h.isDown && !permitted[h.name] {
+			continue
+		}
+		u.unavailable[h.name] = true
+		u.total++
+		u.byRack[h.rack]++
+		u.byDataCentre[h.dataCentre]++
+	}
+	return u
+}
+
+// Check decides whether host may be taken out of service. A host that is already down
+// costs nothing more, so it needs no room in the budget.
+func Check(p *Pool, hosts []HostView, host string) Refusal {
+	if p.FindPermit(host) != nil {
+		return AlreadyPermitted
+	}
+	view, ok := findView(hosts, host)
+	if !ok {
+		return NotInPool
+	}
+	u := UsageOf(p, hosts)
+	if u.unavailable[host] {
+		return Allowed
+	}
+	switch {
+	case u.total >= int(p.GetMaxUnavailable()):
+		return BudgetSpent
+	case isReached(u.byRack[view.rack], p.GetMaxUnavailablePerRack()):
+		return RackLimit
+	case isReached(u.byDataCentre[view.dataCentre], p.GetMaxUnavailablePerDataCentre()):
+		return DataCentreLimit
+	}
+	return Allowed
+}
+
+func findView(hosts []HostView, host string) (HostView, bool) {
+	for _, h := range hosts {
+		if h.name == host {
+			return h, true
+		}
+	}
+	return HostView{}, false
+}
+
+// isReached compares a count with a limit; a limit of 0 is no limit.
+func isReached(count int, limit int32) bool {
+	return limit > 0 && count >= int(limit)
+}
+
+// FindPermit returns the permit of the host, or nil.
+func (p *Pool) FindPermit(host string) *Permit {
+	for _, permit := range p.GetPermits() {
+		if permit.GetHost() == host {
+			return permit
+		}
+	}
+	return nil
+}
+
+// AddPermit appends a permit at its first step.
+func (p *Pool) AddPermit(permit *Permit, now bwclock.Time) {
+	permit.Step = Step_granted
+	permit.GrantedMillis = now.Millis()
+	permit.StepMillis = now.Millis()
+	p.Permits = append(p.Permits, permit)
+}
+
+// Advance moves the permit with the id to step and reports whether it was found.
+func (p *Pool) Advance(id string, step Step, now bwclock.Time) bool {
+	for _, permit := range p.GetPermits() {
+		if permit.GetId() == id {
+			permit.Step = step
+			permit.StepMillis = now.Millis()
+			permit.Problem = ""
+			return true
+		}
+	}
+	return false
+}
+
+// Release removes the permit with the id and, for a wave's permit, marks its host done.
+func (p *Pool) Release(id string, now bwclock.Time) {
+	for i, permit := range p.GetPermits() {
+		if permit.GetId() != id {
+			continue
+		}
+		p.Permits = append(p.Permits[:i:i], p.Permits[i+1:]...)
+		if permit.GetWave() != "" && permit.GetWave() == p.GetWave().GetId() {
+			p.Wave.Done = append(p.Wave.Done, permit.GetHost())
+		}
+		return
+	}
+}
+
+// NextWaveHost returns the next host that the running wave may take, if there is one.
+// Hosts that are already down go first, since they cost no availability.
+func NextWaveHost(p *Pool, hosts []HostView) (string, bool) {
+	if p.GetWave().GetState() != WaveState_running {
+		return "", false
+	}
+	done := doneHosts(p)
+	for _, wantDown := range []bool{true, false} {
+		for _, h := range hosts {
+			if h.isDown == wantDown && !done[h.name] && Check(p, hosts, h.name) == Allowed {
+				return h.name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// IsWaveComplete reports whether the wave has finished every host of the pool.
+func IsWaveComplete(p *Pool, hosts []HostView) bool {
+	done := doneHosts(p)
+	for _, h := range hosts {
+		if !done[h.name] {
+			return false
+		}
+	}
+	return true
+}
+
+func doneHosts(p *Pool) map[string]bool {
+	done := make(map[string]bool)
+	for _, host := range p.GetWave().GetDone() {
+		done[host] = true
+	}
+	return done
+}
+
+// Problems returns every fault of the specification in plain words.
+func (p *Pool) Problems() []string {
+	var problems []string
+	for _, field := range []struct{ name, value string }{{"name", p.GetName()}, {"service", p.GetService()}} {
+		if !bwprofile.IsName(field.value) {
+			problems = append(problems, fmt.Sprintf("%s %q: use lower-case letters, digits and hyphens", field.name, field.value))
+		}
+	}
+	if p.GetMaxUnavailable() < 1 {
+		problems = append(problems, fmt.Sprintf("maxUnavailable %d: must be at least 1, or no host can be maintained", p.GetMaxUnavailable()))
+	}
+	if p.GetMaxUnavailablePerRack() < 0 || p.GetMaxUnavailablePerDataCentre() < 0 {
+		problems = append(problems, "maxUnavailablePerRack and maxUnavailablePerDataCentre: must not be negative")
+	}
+	return problems
+}
--- /dev/null
+++ b/bwprofile/profile.go
@@ -0,0 +1,102 @@
+// Package bwprofile holds profiles and teams.
+//
+// A profile is a named promise about capacity, urgency and repetition that requests
+// run under. It belongs to a team, whose quota bounds the sum of the guaranteed
+// slots of its profiles. The messages are generated; this file adds the defaults, the
+// checks of operators' input and the typed durations.
+package bwprofile
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// The limits and defaults of a profile.
+const (
+	DefaultTimeout      = 10 * time.Second
+	DefaultAttemptLimit = 3
+	DefaultQueueLimit   = 1000
+	DefaultKeyWindow    = 10 * time.Minute
+	DefaultRetryRatio   = 0.1
+	MaxTimeout          = 10 * time.Minute
+	MaxKeyWindow        = 24 * time.Hour
+	MaxAttemptLimit     = 10
+	MaxQueueLimit       = 100_000
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// IsName reports whether s may name a profile, team, pool or service.
+func IsName(s string) bool {
+	return namePattern.MatchString(s)
+}
+
+// WithDefaults fills the unset fields of p and returns p.
+func (p *Profile) WithDefaults() *Profile {
+	if p.TimeoutMillis == 0 {
+		p.TimeoutMillis = DefaultTimeout.Milliseconds()
+	}
+	if p.AttemptLimit == 0 {
+		p.AttemptLimit = DefaultAttemptLimit
+	}
+	if p.QueueLimit == 0 {
+		p.QueueLimit = DefaultQueueLimit
+	}
+	if p.KeyWindowMillis == 0 {
+		p.KeyWindowMillis = DefaultKeyWindow.Milliseconds()
+	}
+	if p.RetryRatio == 0 {
+		p.RetryRatio = DefaultRetryRatio
+	}
+	return p
+}
+
+// Problems returns every fault of p in plain words; none means that p is valid.
+func (p *Profile) Problems() []string {
+	var problems []string
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			problems = append(problems, fmt.Sprintf(format, args...))
+		}
+	}
+	check(IsName(p.GetName()), "name %q: use lower-case letters, digits and hyphens", p.GetName())
+	check(IsName(p.GetTeam()), "team %q: use lower-case letters, digits and hyphens", p.GetTeam())
+	check(IsName(p.GetPool()), "pool %q: use lower-case letters, digits and hyphens", p.GetPool())
+	check(p.GetGuaranteedSlots() >= 0, "guaranteedSlots %v: must not be negative", p.GetGuaranteedSlots())
+	check(p.Timeout() > 0 && p.Timeout() <= MaxTimeout, "timeoutMillis %d: must lie in 1..%d", p.GetTimeoutMillis(), MaxTimeout.Milliseconds())
+	check(p.GetAttemptLimit() >= 1 && p.GetAttemptLimit() <= MaxAttemptLimit, "attemptLimit %d: must lie in 1..%d", p.GetAttemptLimit(), MaxAttemptLimit)
+	check(p.GetQueueLimit() >= 1 && p.GetQueueLimit() <= MaxQueueLimit, "queueLimit %d: must lie in 1..%d", p.GetQueueLimit(), MaxQueueLimit)
+	check(p.KeyWindow() >= p.Timeout() && p.KeyWindow() <= MaxKeyWindow, "keyWindowMillis %d: must lie between the timeout and %d", p.GetKeyWindowMillis(), MaxKeyWindow.Milliseconds())
+	check(p.GetRetryRatio() >= 0 && p.GetRetryRatio() <= 1, "retryRatio %v: must lie in 0..1", p.GetRetryRatio())
+	_, known := Urgency_name[int32(p.GetUrgency())]
+	check(known, "urgency %d: unknown", p.GetUrgency())
+	return problems
+}
+
+// Timeout returns the default deadline of a request.
+func (p *Profile) Timeout() time.Duration {
+	return time.Duration(p.GetTimeoutMillis()) * time.Millisecond
+}
+
+// KeyWindow returns how long an idempotency key is remembered.
+func (p *Profile) KeyWindow() time.Duration {
+	return time.Duration(p.GetKeyWindowMillis()) * time.Millisecond
+}
+
+// IsIdempotent reports whether requests may execute more than once.
+func (p *Profile) IsIdempotent() bool {
+	return p.GetRepetition() == Repetition_idempotent
+}
+
+// Problems returns every fault of t in plain words.
+func (t *Team) Problems() []string {
+	var problems []string
+	if !IsName(t.GetName()) {
+		problems = append(problems, fmt.Sprintf("name %q: use lower-case letters, digits and hyphens", t.GetName()))
+	}
+	if t.GetQuotaSlots() < 0 {
+		problems = append(problems, fmt.Sprintf("quotaSlots %v: must not be negative", t.GetQuotaSlots()))
+	}
+	return problems
+}
--- /dev/null
+++ b/bwroster/roster.go
@@ -0,0 +1,80 @@
+// Package bwroster states which pool each host belongs to.
+//
+// The roster is cut into a fixed number of shards, and a host's name decides its
+// shard. A host has one entry in one shard and an entry names one pool, so a single
+// compare-and-swap moves the host and it belongs to exactly one pool at each revision.
+package bwroster
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strconv"
+
+	"basilwood.example/basilwood/bwprofile"
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShardCount is the number of roster shards.
+const ShardCount = 64
+
+// ShardOf returns the number of the shard that holds host.
+func ShardOf(host string) int {
+	return int(xxhash.Sum64String(host) % ShardCount)
+}
+
+// ShardName returns the name of shard n for use in a store key.
+func ShardName(n int) string {
+	return fmt.Sprintf("%02s", strconv.Itoa(n))
+}
+
+// Find returns the entry of the host in s, or nil.
+func (s *Shard) Find(host string) *Host {
+	for _, h := range s.GetHosts() {
+		if h.GetName() == host {
+			return h
+		}
+	}
+	return nil
+}
+
+// Set adds h to s or replaces the entry of the same name.
+func (s *Shard) Set(h *Host) {
+	for i, old := range s.GetHosts() {
+		if old.GetName() == h.GetName() {
+			s.Hosts[i] = h
+			return
+		}
+	}
+	s.Hosts = append(s.Hosts, h)
+	sort.Slice(s.Hosts, func(i, j int) bool { return s.Hosts[i].GetName() < s.Hosts[j].GetName() })
+}
+
+// Remove takes the host out of s.
+func (s *Shard) Remove(host string) {
+	for i, old := range s.GetHosts() {
+		if old.GetName() == host {
+			s.Hosts = append(s.Hosts[:i], s.Hosts[i+1:]...)
+			return
+		}
+	}
+}
+
+// Problems returns every fault of h in plain words.
+func (h *Host) Problems() []string {
+	var problems []string
+	for _, field := range []struct{ name, value string }{
+		{"name", h.GetName()}, {"pool", h.GetPool()}, {"rack", h.GetRack()}, {"dataCentre", h.GetDataCentre()},
+	} {
+		if !bwprofile.IsName(field.value) {
+			problems = append(problems, fmt.Sprintf("%s %q: use lower-case letters, digits and hyphens", field.name, field.value))
+		}
+	}
+	if _, err := netip.ParseAddrPort(h.GetAddress()); err != nil {
+		problems = append(problems, fmt.Sprintf("address %q: must be an IP number and a port", h.GetAddress()))
+	}
+	if h.GetSlots() < 1 {
+		problems = append(problems, fmt.Sprintf("slots %d: must be at least 1", h.GetSlots()))
+	}
+	return problems
+}
