bwstore, bwplatform, bwstandin: clients of the outside systems and their stand-ins

The store client settles a write whose reply was lost by its write id and never repeats a write without its expected revision. The stand-ins count calls and carry fault switches: delay, refusal, reply lost after the effect, silence.

--- /dev/null
+++ b/bwstandin/store.go
@@ -0,0 +1,337 @@
+package bwstandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"basilwood.example/basilwood/bwstore"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+)
+
+// maxHistory is the number of changes that watches can look back on.
+const maxHistory = 100_000
+
+// Store is a stand-in of the platform's key-value service.
+type Store struct {
+	board *Switchboard
+	mux   *mux.Router
+
+	mu       sync.Mutex
+	keys     map[string]storedKey
+	leases   map[string]*storedLease
+	history  []bwstore.KeyMessage
+	dropped  int64
+	revision int64
+	changed  chan struct{}
+	stats    StoreStats
+	second   int64
+	reads    int
+	writes   int
+}
+
+type storedKey struct {
+	message bwstore.KeyMessage
+	lease   string
+}
+
+type storedLease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// StoreStats counts the calls that the store served.
+type StoreStats struct {
+	Reads               int `json:"reads"`
+	Writes              int `json:"writes"`
+	MaxReadsPerSecond   int `json:"maxReadsPerSecond"`
+	MaxWritesPerSecond  int `json:"maxWritesPerSecond"`
+	LargestValueBytes   int `json:"largestValueBytes"`
+	RefusedForSizeCalls int `json:"refusedForSizeCalls"`
+}
+
+// NewStore returns an empty store.
+func NewStore(seed uint64) *Store {
+	s := &Store{
+		board:   NewSwitchboard(seed),
+		mux:     mux.NewRouter(),
+		keys:    make(map[string]storedKey),
+		leases:  make(map[string]*storedLease),
+		changed: make(chan struct{}),
+	}
+	s.mux.HandleFunc("/v1/keys", s.list).Methods(http.MethodGet)
+	s.mux.HandleFunc("/v1/keys/{key:.+}", s.get).Methods(http.MethodGet)
+	s.mux.HandleFunc("/v1/keys/{key:.+}", s.put).Methods(http.MethodPut)
+	s.mux.HandleFunc("/v1/keys/{key:.+}", s.remove).Methods(http.MethodDelete)
+	s.mux.HandleFunc("/v1/watch", s.watch).Methods(http.MethodGet)
+	s.mux.HandleFunc("/v1/leases", s.grantLease).Methods(http.MethodPost)
+	s.mux.HandleFunc("/v1/leases/{id}/renew", s.renewLease).Methods(http.MethodPost)
+	s.mux.HandleFunc("/v1/leases/{id}", s.revokeLease).Methods(http.MethodDelete)
+	s.mux.HandleFunc("/stats", s.serveStats).Methods(http.MethodGet)
+	return s
+}
+
+// Handler returns the store's HTTP interface with its faults.
+func (s *Store) Handler() http.Handler { return s.board.Wrap(s.mux) }
+
+// Faults returns the store's fault switches.
+func (s *Store) Faults() *Switchboard { return s.board }
+
+// Stats returns the calls counted so far.
+func (s *Store) Stats() StoreStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// History returns every change in revision order, for oracles.
+func (s *Store) History() []bwstore.KeyMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]bwstore.KeyMessage(nil), s.history...)
+}
+
+func (s *Store) serveStats(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.Stats())
+}
+
+// count records one call and expires leases; the caller holds the lock.
+func (s *Store) count(isWrite bool) {
+	now := time.Now()
+	if now.Unix() != s.second {
+		s.second, s.reads, s.writes = now.Unix(), 0, 0
+	}
+	if isWrite {
+		s.writes++
+		s.stats.Writes++
+		s.stats.MaxWritesPerSecond = max(s.stats.MaxWritesPerSecond, s.writes)
+	} else {
+		s.reads++
+		s.stats.Reads++
+		s.stats.MaxReadsPerSecond = max(s.stats.MaxReadsPerSecond, s.reads)
+	}
+	s.expire(now)
+}
+
+// expire ends the leases whose time has passed and deletes their keys.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id string) {
+	delete(s.leases, id)
+	var keys []string
+	for key, k := range s.keys {
+		if k.lease == id {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.apply(bwstore.KeyMessage{Key: key, Deleted: true}, "")
+	}
+}
+
+// apply makes one change at the next revision and wakes the watches.
+func (s *Store) apply(m bwstore.KeyMessage, lease string) int64 {
+	s.revision++
+	m.Revision = s.revision
+	if m.Deleted {
+		delete(s.keys, m.Key)
+	} else {
+		s.keys[m.Key] = storedKey{message: m, lease: lease}
+	}
+	s.history = append(s.history, m)
+	if len(s.history) > maxHistory {
+		half := maxHistory / 2
+		s.dropped = s.history[half-1].Revision
+		s.history = append([]bwstore.KeyMessage(nil), s.history[half:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(false)
+	k, ok := s.keys[mux.Vars(r)["key"]]
+	if !ok {
+		reply(w, http.StatusNotFound, bwstore.RevisionMessage{})
+		return
+	}
+	reply(w, http.StatusOK, k.message)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(false)
+	prefix := r.URL.Query().Get("prefix")
+	m := bwstore.ListMessage{Revision: s.revision}
+	for key, k := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			m.Entries = append(m.Entries, k.message)
+		}
+	}
+	sort.Slice(m.Entries, func(i, j int) bool { return m.Entries[i].Key < m.Entries[j].Key })
+	reply(w, http.StatusOK, m)
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, 2*bwstore.MaxValueBytes))
+	var m bwstore.PutMessage
+	if err == nil {
+		err = json.Unmarshal(data, &m)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(true)
+	s.write(w, mux.Vars(r)["key"], m)
+}
+
+// write carries out a compare-and-swap; the caller holds the lock.
+func (s *Store) write(w http.ResponseWriter, key string, m bwstore.PutMessage) {
+	s.stats.LargestValueBytes = max(s.stats.LargestValueBytes, len(m.Value))
+	if len(m.Value) > bwstore.MaxValueBytes {
+		s.stats.RefusedForSizeCalls++
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if _, ok := s.leases[m.LeaseID]; m.LeaseID != "" && !ok {
+		http.Error(w, "lease ended", http.StatusGone)
+		return
+	}
+	current := s.keys[key].message.Revision
+	if current != m.ExpectedRevision {
+		reply(w, http.StatusConflict, bwstore.RevisionMessage{Revision: current})
+		return
+	}
+	revision := s.apply(bwstore.KeyMessage{Key: key, Value: m.Value}, m.LeaseID)
+	reply(w, http.StatusOK, bwstore.RevisionMessage{Revision: revision})
+}
+
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(true)
+	key := mux.Vars(r)["key"]
+	expected, err := strconv.ParseInt(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		http.Error(w, "revision: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	current := s.keys[key].message.Revision
+	if current != expected || current == 0 {
+		reply(w, http.StatusConflict, bwstore.RevisionMessage{Revision: current})
+		return
+	}
+	revision := s.apply(bwstore.KeyMessage{Key: key, Deleted: true}, "")
+	reply(w, http.StatusOK, bwstore.RevisionMessage{Revision: revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, waitErr := strconv.ParseInt(query.Get("waitMillis"), 10, 64)
+	if err != nil || waitErr != nil {
+		http.Error(w, "after and waitMillis are numbers", http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	s.mu.Lock()
+	s.count(false)
+	s.mu.Unlock()
+	for {
+		m, changed := s.changesAfter(after, query["prefix"])
+		if len(m.Entries) > 0 || m.Compacted {
+			reply(w, http.StatusOK, m)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			reply(w, http.StatusOK, m)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// changesAfter returns the changes under the prefixes, and a channel that closes at the next change.
+func (s *Store) changesAfter(after int64, prefixes []string) (bwstore.ListMessage, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	m := bwstore.ListMessage{Revision: s.revision, Compacted: after < s.dropped}
+	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	for _, change := range s.history[start:] {
+		if hasAnyPrefix(change.Key, prefixes) {
+			m.Entries = append(m.Entries, change)
+		}
+	}
+	return m, s.changed
+}
+
+func hasAnyPrefix(key string, prefixes []string) bool {
+	for _, p := range prefixes {
+		if strings.HasPrefix(key, p) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Store) grantLease(w http.ResponseWriter, r *http.Request) {
+	var m bwstore.LeaseMessage
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(true)
+	m.LeaseID = uuid.NewString()
+	ttl := time.Duration(m.TTLMillis) * time.Millisecond
+	s.leases[m.LeaseID] = &storedLease{ttl: ttl, ends: time.Now().Add(ttl)}
+	reply(w, http.StatusOK, m)
+}
+
+func (s *Store) renewLease(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(true)
+	id := mux.Vars(r)["id"]
+	l, ok := s.leases[id]
+	if !ok {
+		reply(w, http.StatusNotFound, bwstore.LeaseMessage{})
+		return
+	}
+	l.ends = time.Now().Add(l.ttl)
+	reply(w, http.StatusOK, bwstore.LeaseMessage{LeaseID: id})
+}
+
+func (s *Store) revokeLease(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(true)
+	s.endLease(mux.Vars(r)["id"])
+	reply(w, http.StatusOK, bwstore.LeaseMessage{})
+}
--- /dev/null
+++ b/bwstore/client.go
@@ -0,0 +1,384 @@
+// Package bwstore is the client of the platform's key-value service.
+//
+// The service offers compare-and-swap on single keys, leases and watches. It has
+// outages, and replies to a write can be lost after the write took effect. The
+// client therefore wraps each value in an envelope with a write id. After a lost
+// reply it reads the key again: its own write id proves that the write took effect,
+// the expected revision allows the same compare-and-swap again, and anything else is
+// reported as Doubtful. A write never repeats without the expected revision, so it
+// takes effect at most once.
+//
+// Writes are limited by class, which keeps a busy class from using up the rate that
+// the service grants to all of them.
+package bwstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"golang.org/x/time/rate"
+)
+
+// MaxValueBytes is the largest value that the service accepts, envelope included.
+const MaxValueBytes = 1 << 20
+
+const (
+	defaultTimeout = 1500 * time.Millisecond
+	maxReplyBytes  = 256 << 20
+	watchMargin    = time.Second
+)
+
+// Class names the purpose of a write for the write limits.
+type Class int
+
+// The classes of writes.
+const (
+	ClassClaims Class = iota
+	ClassMaintenance
+	ClassAccounts
+	ClassConfiguration
+	ClassMembership
+	classCount
+)
+
+// String returns the class in lower camel case.
+func (c Class) String() string {
+	names := [...]string{"claims", "maintenance", "accounts", "configuration", "membership"}
+	return names[c]
+}
+
+// Client talks to the key-value service. It is safe for concurrent use.
+type Client struct {
+	base      string
+	transport *http.Transport
+	timeout   time.Duration
+	limits    [classCount]*rate.Limiter
+}
+
+// Option changes a Client under construction.
+type Option func(*Client)
+
+// WithTimeout sets the time that one call may take.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithWriteLimit sets the writes per second of a class and their burst.
+func WithWriteLimit(class Class, perSecond float64, burst int) Option {
+	return func(c *Client) { c.limits[class] = rate.NewLimiter(rate.Limit(perSecond), burst) }
+}
+
+// WithTransport sets the HTTP transport, for in-memory connections.
+func WithTransport(t *http.Transport) Option {
+	return func(c *Client) { c.transport = t }
+}
+
+// New returns a client of the service at base, a URL without a path.
+func New(base string, options ...Option) *Client {
+	c := &Client{
+		base:      base,
+		transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second},
+		timeout:   defaultTimeout,
+	}
+	for i := range c.limits {
+		c.limits[i] = rate.NewLimiter(rate.Inf, 1)
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Close releases the idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// WriteLimit returns the writes per second that class may use.
+func (c *Client) WriteLimit(class Class) float64 {
+	return float64(c.limits[class].Limit())
+}
+
+// SetWriteLimit changes the writes per second of a class.
+func (c *Client) SetWriteLimit(class Class, perSecond float64) {
+	c.limits[class].SetLimit(rate.Limit(perSecond))
+}
+
+// Get returns the entry of key; an absent key has revision 0 and reads as deleted.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var m KeyMessage
+	status, err := c.readCall(ctx, "/v1/keys/"+key, &m)
+	if err != nil {
+		return Entry{}, err
+	}
+	if status == http.StatusNotFound {
+		return NewDeletion(key, 0), nil
+	}
+	e, _, err := openEnvelope(m)
+	return e, err
+}
+
+// List returns every entry whose key starts with prefix.
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var m ListMessage
+	query := url.Values{"prefix": {prefix}}
+	_, err := c.readCall(ctx, "/v1/keys?"+query.Encode(), &m)
+	if err != nil {
+		return Listing{}, err
+	}
+	entries, err := openEnvelopes(m.Entries)
+	return Listing{entries: entries, revision: m.Revision}, err
+}
+
+// Watch waits up to wait for changes after revision to keys under any of the prefixes.
+func (c *Client) Watch(ctx context.Context, prefixes []string, revision int64, wait time.Duration) (Changes, error) {
+	query := url.Values{
+		"prefix":     prefixes,
+		"after":      {strconv.FormatInt(revision, 10)},
+		"waitMillis": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	var m ListMessage
+	_, err := c.call(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil, &m)
+	if err != nil {
+		return Changes{}, err
+	}
+	entries, err := openEnvelopes(m.Entries)
+	return Changes{entries: entries, revision: m.Revision, compacted: m.Compacted}, err
+}
+
+// Put writes the JSON value to key if the key is at expected revision; 0 expects an
+// absent key. It keeps trying until the result is certain or ctx ends.
+func (c *Client) Put(ctx context.Context, class Class, key string, value []byte, expected int64, lease LeaseID) WriteResult {
+	w := write{class: class, key: key, expected: expected, id: uuid.NewString(), lease: lease}
+	data, err := json.Marshal(envelope{WriteID: w.id, Value: value})
+	if err != nil || len(data) > MaxValueBytes {
+		return WriteResult{status: NotWritten}
+	}
+	w.data = data
+	return c.settle(ctx, w)
+}
+
+// Delete removes key if it is at expected revision.
+func (c *Client) Delete(ctx context.Context, class Class, key string, expected int64) WriteResult {
+	return c.settle(ctx, write{class: class, key: key, expected: expected, isDelete: true})
+}
+
+// write is one compare-and-swap, which may be sent more than once.
+type write struct {
+	class    Class
+	key      string
+	expected int64
+	id       string
+	data     []byte
+	lease    LeaseID
+	isDelete bool
+}
+
+// settle sends w until its effect is certain. Sending again is safe because the
+// expected revision admits the write only once.
+func (c *Client) settle(ctx context.Context, w write) WriteResult {
+	pause := newBackOff()
+	sent := false
+	for {
+		if c.limits[w.class].Wait(ctx) != nil {
+			return unsettled(sent)
+		}
+		r, certain := c.send(ctx, w)
+		if certain && (r.status == Written || !sent) {
+			return r
+		}
+		sent = true
+		r, certain = c.inspect(ctx, w)
+		if certain {
+			return r
+		}
+		if !sleep(ctx, pause.NextBackOff()) {
+			return unsettled(sent)
+		}
+	}
+}
+
+func unsettled(sent bool) WriteResult {
+	if sent {
+		return WriteResult{status: Doubtful}
+	}
+	return WriteResult{status: NotWritten}
+}
+
+// send makes one call. It reports false when the effect of the call is uncertain.
+func (c *Client) send(ctx context.Context, w write) (WriteResult, bool) {
+	var m RevisionMessage
+	status, err := c.sendCall(ctx, w, &m)
+	switch {
+	case err != nil:
+		return WriteResult{}, false
+	case status == http.StatusOK:
+		return WriteResult{status: Written, revision: m.Revision}, true
+	case status == http.StatusConflict:
+		return WriteResult{status: Conflict, revision: m.Revision}, true
+	case status >= http.StatusInternalServerError:
+		return WriteResult{}, false
+	}
+	return WriteResult{status: NotWritten}, true
+}
+
+func (c *Client) sendCall(ctx context.Context, w write, m *RevisionMessage) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if w.isDelete {
+		path := "/v1/keys/" + w.key + "?revision=" + strconv.FormatInt(w.expected, 10)
+		return c.call(ctx, http.MethodDelete, path, nil, m)
+	}
+	put := PutMessage{Value: w.data, ExpectedRevision: w.expected, LeaseID: string(w.lease)}
+	return c.call(ctx, http.MethodPut, "/v1/keys/"+w.key, put, m)
+}
+
+// inspect reads the key after an uncertain write. It reports false when the write
+// may be sent again.
+func (c *Client) inspect(ctx context.Context, w write) (WriteResult, bool) {
+	var m KeyMessage
+	status, err := c.getOnce(ctx, "/v1/keys/"+w.key, &m)
+	if err != nil {
+		return WriteResult{}, false
+	}
+	if status == http.StatusNotFound {
+		m.Revision = 0
+	}
+	if w.isDelete && m.Revision != w.expected {
+		return WriteResult{status: Written, revision: m.Revision}, true
+	}
+	if m.Revision == w.expected {
+		return WriteResult{}, false
+	}
+	_, id, err := openEnvelope(m)
+	if err == nil && id == w.id {
+		return WriteResult{status: Written, revision: m.Revision}, true
+	}
+	return WriteResult{status: Doubtful, revision: m.Revision}, true
+}
+
+// GrantLease asks for a lease that ends ttl after its last renewal.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var m LeaseMessage
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.call(ctx, http.MethodPost, "/v1/leases", LeaseMessage{TTLMillis: ttl.Milliseconds()}, &m)
+	return LeaseID(m.LeaseID), err
+}
+
+// RenewLease extends the lease. It reports false when the lease has ended.
+func (c *Client) RenewLease(ctx context.Context, id LeaseID) (bool, error) {
+	var m LeaseMessage
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, err := c.call(ctx, http.MethodPost, "/v1/leases/"+string(id)+"/renew", LeaseMessage{}, &m)
+	return status == http.StatusOK, err
+}
+
+// RevokeLease ends the lease and deletes its keys.
+func (c *Client) RevokeLease(ctx context.Context, id LeaseID) error {
+	var m LeaseMessage
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.call(ctx, http.MethodDelete, "/v1/leases/"+string(id), nil, &m)
+	return err
+}
+
+// readCall repeats a read until it succeeds or ctx ends.
+func (c *Client) readCall(ctx context.Context, path string, reply any) (int, error) {
+	read := func() (int, error) { return c.getOnce(ctx, path, reply) }
+	return backoff.Retry(ctx, read, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(2*c.timeout))
+}
+
+func (c *Client) getOnce(ctx context.Context, path string, reply any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.call(ctx, http.MethodGet, path, nil, reply)
+}
+
+// call makes one HTTP call. Statuses below 500 are results; the rest are errors.
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, oops.In("bwstore").Wrapf(err, "encode %s %s", method, path)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, oops.In("bwstore").Wrapf(err, "build %s %s", method, path)
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		// A timeout may mean that the path lost the connection; its idle siblings share that path.
+		c.transport.CloseIdleConnections()
+		return 0, oops.In("bwstore").Wrapf(err, "%s %s", method, path)
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return 0, oops.In("bwstore").Wrapf(err, "read reply of %s %s", method, path)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return resp.StatusCode, oops.In("bwstore").Errorf("%s %s: status %d", method, path, resp.StatusCode)
+	}
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict {
+		err = json.Unmarshal(content, reply)
+	}
+	return resp.StatusCode, err
+}
+
+func openEnvelopes(messages []KeyMessage) ([]Entry, error) {
+	entries := make([]Entry, 0, len(messages))
+	for _, m := range messages {
+		e, _, err := openEnvelope(m)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// openEnvelope returns the entry of m and the id of the write that made it.
+func openEnvelope(m KeyMessage) (Entry, string, error) {
+	if m.Deleted {
+		return NewDeletion(m.Key, m.Revision), "", nil
+	}
+	var e envelope
+	if len(m.Value) == 0 {
+		return NewDeletion(m.Key, m.Revision), "", nil
+	}
+	if err := json.Unmarshal(m.Value, &e); err != nil {
+		return Entry{}, "", oops.In("bwstore").Wrapf(err, "value of %s", m.Key)
+	}
+	return NewEntry(m.Key, e.Value, m.Revision), e.WriteID, nil
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 20 * time.Millisecond
+	b.MaxInterval = time.Second
+	return b
+}
+
+// sleep waits for d and reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
