--- /dev/null
+++ b/bwconfig/replica.go
@@ -0,0 +1,248 @@
+package bwconfig
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwpool"
+	"basilwood.example/basilwood/bwprofile"
+	"basilwood.example/basilwood/bwroster"
+	"basilwood.example/basilwood/bwstore"
+	"google.golang.org/protobuf/proto"
+)
+
+// Replica is a process's copy of the configuration. The zero value is empty and ready
+// to use. It is safe for concurrent use.
+type Replica struct {
+	mu       sync.Mutex
+	items    map[string]*item
+	revision int64
+	loaded   bool
+	invalid  int
+	current  atomic.Pointer[Version]
+}
+
+// item is one key with its decoded value; a deleted key keeps its revision.
+type item struct {
+	entry   bwstore.Entry
+	message proto.Message
+}
+
+// Version returns the current view; it is empty before the first load.
+func (r *Replica) Version() *Version {
+	if v := r.current.Load(); v != nil {
+		return v
+	}
+	return &Version{}
+}
+
+// IsLoaded reports whether the replica has had a whole copy.
+func (r *Replica) IsLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+// InvalidCount returns the number of values that could not be decoded and were not applied.
+func (r *Replica) InvalidCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.invalid
+}
+
+// ApplyListing applies a whole copy of the followed prefixes. A known key that is
+// missing from it was deleted no later than the listing's revision.
+func (r *Replica) ApplyListing(entries []bwstore.Entry, revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key()] = true
+	}
+	for key, it := range r.items {
+		if !present[key] && !it.entry.IsDeleted() && it.entry.Revision() <= revision {
+			r.applyEntry(bwstore.NewDeletion(key, revision))
+		}
+	}
+	r.loaded = true
+	r.apply(entries, revision)
+}
+
+// ApplyChanges applies changes that are complete up to revision and start no later
+// than the replica's own revision.
+func (r *Replica) ApplyChanges(entries []bwstore.Entry, revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(entries, revision)
+}
+
+// apply merges entries and publishes a new version; the caller holds the lock.
+func (r *Replica) apply(entries []bwstore.Entry, revision int64) {
+	changed := false
+	for _, e := range entries {
+		changed = r.applyEntry(e) || changed
+	}
+	if revision > r.revision {
+		r.revision = revision
+	}
+	r.publish(changed)
+}
+
+// applyEntry merges one key if its revision is higher and reports whether it did.
+func (r *Replica) applyEntry(e bwstore.Entry) bool {
+	if r.items == nil {
+		r.items = make(map[string]*item)
+	}
+	old, ok := r.items[e.Key()]
+	if ok && old.entry.Revision() >= e.Revision() {
+		return false
+	}
+	message, err := decode(e)
+	if err != nil {
+		r.invalid++
+		return false
+	}
+	r.items[e.Key()] = &item{entry: e, message: message}
+	return true
+}
+
+// decode reads a value. Unknown fields are kept out, so that values from a newer
+// version can be used.
+func decode(e bwstore.Entry) (proto.Message, error) {
+	if e.IsDeleted() {
+		return nil, nil
+	}
+	m := newMessage(e.Key())
+	if m == nil {
+		return nil, nil
+	}
+	return m, bwcodec.Unmarshal(e.Value(), m)
+}
+
+func newMessage(key string) proto.Message {
+	if _, ok := cutName(key, PrefixProfiles); ok {
+		return new(bwprofile.Profile)
+	}
+	if _, ok := cutName(key, PrefixTeams); ok {
+		return new(bwprofile.Team)
+	}
+	if _, ok := cutName(key, PrefixPools); ok {
+		return new(bwpool.Pool)
+	}
+	if _, ok := cutName(key, PrefixRoster); ok {
+		return new(bwroster.Shard)
+	}
+	if _, ok := cutName(key, PrefixEntries); ok {
+		return new(bwpeer.Beat)
+	}
+	if _, ok := cutName(key, PrefixControllers); ok {
+		return new(bwpeer.Beat)
+	}
+	return nil
+}
+
+// publish replaces the current version. Without a change of keys it only moves the revision.
+func (r *Replica) publish(changed bool) {
+	old := r.current.Load()
+	if old != nil && !changed {
+		v := *old
+		v.revision = r.revision
+		r.current.Store(&v)
+		return
+	}
+	v := newVersion(r.revision)
+	for key, it := range r.items {
+		if it.message == nil {
+			continue
+		}
+		v.revisions[key] = it.entry.Revision()
+		v.add(key, it.message)
+	}
+	for _, hosts := range v.poolHosts {
+		sort.Slice(hosts, func(i, j int) bool { return hosts[i].GetName() < hosts[j].GetName() })
+	}
+	r.current.Store(v)
+}
+
+func newVersion(revision int64) *Version {
+	return &Version{
+		revision:   revision,
+		profiles:   make(map[string]*bwprofile.Profile),
+		teams:      make(map[string]*bwprofile.Team),
+		pools:      make(map[string]*bwpool.Pool),
+		hosts:      make(map[string]*bwroster.Host),
+		poolHosts:  make(map[string][]*bwroster.Host),
+		registered: make(map[string]*bwpeer.Beat),
+		revisions:  make(map[string]int64),
+	}
+}
+
+// add files one decoded value under its kind.
+func (v *Version) add(key string, m proto.Message) {
+	switch m := m.(type) {
+	case *bwprofile.Profile:
+		v.profiles[m.GetName()] = m
+	case *bwprofile.Team:
+		v.teams[m.GetName()] = m
+	case *bwpool.Pool:
+		v.pools[m.GetName()] = m
+	case *bwpeer.Beat:
+		if _, ok := cutName(key, PrefixControllers); ok {
+			v.controllers = append(v.controllers, m.GetId())
+			return
+		}
+		v.registered[m.GetId()] = m
+	case *bwroster.Shard:
+		for _, h := range m.GetHosts() {
+			v.hosts[h.GetName()] = h
+			v.poolHosts[h.GetPool()] = append(v.poolHosts[h.GetPool()], h)
+		}
+	}
+}
+
+// ItemsAfter returns the keys changed after revision for a peer, with the revision up
+// to which they are complete. An unloaded replica returns nothing and revision 0.
+func (r *Replica) ItemsAfter(revision int64) *bwpeer.PullReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.loaded {
+		return &bwpeer.PullReply{}
+	}
+	reply := &bwpeer.PullReply{Revision: r.revision}
+	for _, it := range r.items {
+		if it.entry.Revision() > revision {
+			reply.Items = append(reply.Items, &bwpeer.Item{
+				Key:      it.entry.Key(),
+				Value:    it.entry.Value(),
+				Revision: it.entry.Revision(),
+				Deleted:  it.entry.IsDeleted(),
+			})
+		}
+	}
+	return reply
+}
+
+// ApplyPull applies a peer's reply to a pull that asked for changes after revision.
+func (r *Replica) ApplyPull(after int64, reply *bwpeer.PullReply) {
+	if reply.GetRevision() == 0 {
+		return
+	}
+	entries := make([]bwstore.Entry, 0, len(reply.GetItems()))
+	for _, it := range reply.GetItems() {
+		if it.GetDeleted() {
+			entries = append(entries, bwstore.NewDeletion(it.GetKey(), it.GetRevision()))
+			continue
+		}
+		entries = append(entries, bwstore.NewEntry(it.GetKey(), it.GetValue(), it.GetRevision()))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after > r.revision {
+		return
+	}
+	r.loaded = true
+	r.apply(entries, reply.GetRevision())
+}
--- /dev/null
+++ b/bwmember/registrar.go
@@ -0,0 +1,133 @@
+package bwmember
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwstore"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/oops"
+)
+
+const (
+	// LeaseTTL is how long a registration outlives its process.
+	LeaseTTL = 5 * time.Second
+	// RenewInterval is the time between renewals of the lease.
+	RenewInterval = 1500 * time.Millisecond
+)
+
+// NewIncarnation returns a name for one run of the process id. The names of one process
+// sort by start time.
+func NewIncarnation(id string, now bwclock.Time) string {
+	const sortableWidth = 9
+	start := strconv.FormatInt(now.Millis(), 36)
+	return fmt.Sprintf("%s-%0*s-%04x", id, sortableWidth, start, rand.N(1<<16))
+}
+
+// store is what a Registrar needs of the key-value service.
+type store interface {
+	Get(ctx context.Context, key string) (bwstore.Entry, error)
+	Put(ctx context.Context, class bwstore.Class, key string, value []byte, expected int64, lease bwstore.LeaseID) bwstore.WriteResult
+	GrantLease(ctx context.Context, ttl time.Duration) (bwstore.LeaseID, error)
+	RenewLease(ctx context.Context, id bwstore.LeaseID) (bool, error)
+	RevokeLease(ctx context.Context, id bwstore.LeaseID) error
+}
+
+// Registrar keeps a process registered in the store under a lease.
+type Registrar struct {
+	store store
+	key   string
+	beat  *bwpeer.Beat
+	log   hclog.Logger
+
+	mu    sync.Mutex
+	lease bwstore.LeaseID
+}
+
+// NewRegistrar returns a registrar that writes beat to key.
+func NewRegistrar(s store, key string, beat *bwpeer.Beat, log hclog.Logger) *Registrar {
+	return &Registrar{store: s, key: key, beat: beat, log: log}
+}
+
+// Run keeps the registration until ctx ends. A lease that lapsed is replaced.
+func (r *Registrar) Run(ctx context.Context) {
+	t := time.NewTicker(RenewInterval)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		if err := r.keep(ctx); err != nil {
+			r.log.Warn("registration failed", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+// keep renews the lease, or registers anew when it has ended.
+func (r *Registrar) keep(ctx context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease != bwstore.NoLease {
+		ok, err := r.store.RenewLease(ctx, r.lease)
+		if ok || err != nil {
+			return err
+		}
+	}
+	return r.register(ctx)
+}
+
+func (r *Registrar) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, LeaseTTL)
+	defer cancel()
+	lease, err := r.store.GrantLease(ctx, LeaseTTL)
+	if err != nil {
+		return err
+	}
+	current, err := r.store.Get(ctx, r.key)
+	if err != nil {
+		return err
+	}
+	if r.isReplaced(current) {
+		return oops.In("bwmember").Errorf("a newer run of %s is registered", r.beat.GetId())
+	}
+	value, err := bwcodec.Marshal(r.beat)
+	if err != nil {
+		return err
+	}
+	result := r.store.Put(ctx, bwstore.ClassMembership, r.key, value, current.Revision(), lease)
+	if result.Status() != bwstore.Written {
+		return oops.In("bwmember").Errorf("registration of %s: %s", r.beat.GetId(), result.Status())
+	}
+	r.lease = lease
+	r.log.Info("registered", "revision", result.Revision())
+	return nil
+}
+
+// isReplaced reports whether a newer run of the same process holds the key.
+func (r *Registrar) isReplaced(current bwstore.Entry) bool {
+	if current.IsDeleted() {
+		return false
+	}
+	other := new(bwpeer.Beat)
+	return bwcodec.Unmarshal(current.Value(), other) == nil && other.GetIncarnation() > r.beat.GetIncarnation()
+}
+
+// Leave gives up the lease. If that fails the lease lapses.
+func (r *Registrar) Leave(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease == bwstore.NoLease {
+		return
+	}
+	if err := r.store.RevokeLease(ctx, r.lease); err != nil {
+		r.log.Warn("lease could not be given up and will lapse", "error", err)
+	}
+}
