--- /dev/null
+++ b/bwentry/callers.go
@@ -0,0 +1,291 @@
+package bwentry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwoutcome"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwprofile"
+	"basilwood.example/basilwood/bwsearch"
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+)
+
+// The headers of the callers' interface, described in docs/CALLERS.md.
+const (
+	HeaderProfile        = "Basilwood-Profile"
+	HeaderCaller         = "Basilwood-Caller"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderTimeout        = "Basilwood-Timeout"
+	HeaderSize           = "Basilwood-Size"
+	HeaderRequestID      = "Basilwood-Request-Id"
+	HeaderOutcome        = "Basilwood-Outcome"
+	HeaderReplayed       = "Basilwood-Replayed"
+)
+
+const (
+	// maxBodyBytes is the largest payload of a request.
+	maxBodyBytes   = 1 << 20
+	maxKeyLength   = 200
+	maxAccountRows = 1000
+)
+
+// Problem is the JSON body of every reply that is not a target's answer.
+type Problem struct {
+	Outcome          string `json:"outcome"`
+	Reason           string `json:"reason"`
+	Message          string `json:"message"`
+	RequestID        string `json:"requestId,omitempty"`
+	IdempotencyKey   string `json:"idempotencyKey,omitempty"`
+	RetryAfterMillis int64  `json:"retryAfterMillis,omitempty"`
+}
+
+// callerRoutes returns the callers' interface.
+func (e *Entry) callerRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/services/{service}/requests", e.serveRequest).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/{id}", e.serveAccount).Methods(http.MethodGet)
+	r.HandleFunc("/v1/requests/{id}", e.serveCancel).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/requests", e.serveSearch).Methods(http.MethodGet)
+	return r
+}
+
+// serveRequest runs one request.
+func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	id := e.nextRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	request, refusal, message := e.parse(r, id)
+	if refusal != nil {
+		e.writeProblem(w, request, refusal, message)
+		return
+	}
+	w.Header().Set(HeaderIdempotencyKey, request.GetIdempotencyKey())
+	o := e.execute(r.Context(), request)
+	if o.GetKind() == bwoutcome.Kind_ran {
+		writeAnswer(w, o)
+		return
+	}
+	e.writeProblem(w, request, o, "")
+}
+
+// parse reads a request, or returns the outcome that refuses it with a message.
+func (e *Entry) parse(r *http.Request, id string) (*bwpeer.SubmitRequest, *bwoutcome.Outcome, string) {
+	request := &bwpeer.SubmitRequest{
+		RequestId:      id,
+		Service:        mux.Vars(r)["service"],
+		Profile:        r.Header.Get(HeaderProfile),
+		Caller:         r.Header.Get(HeaderCaller),
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		ContentType:    r.Header.Get("Content-Type"),
+		Receiver:       e.incarnation,
+	}
+	malformed := bwoutcome.NotRun(bwoutcome.Reason_malformed, 0)
+	if !e.IsReady() {
+		return request, bwoutcome.NotRun(bwoutcome.Reason_notReady, retryAfter), ""
+	}
+	p := e.profileOf(request)
+	if p == nil {
+		return request, bwoutcome.NotRun(bwoutcome.Reason_unknownProfile, 0), ""
+	}
+	if len(request.GetIdempotencyKey()) > maxKeyLength || len(request.GetCaller()) > maxKeyLength {
+		return request, malformed, "Idempotency-Key and Basilwood-Caller are limited to 200 bytes"
+	}
+	timeout, err := parseTimeout(r.Header.Get(HeaderTimeout), p)
+	if err != nil {
+		return request, malformed, err.Error()
+	}
+	size, err := parseSize(r.Header.Get(HeaderSize))
+	if err != nil {
+		return request, malformed, err.Error()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return request, bwoutcome.NotRun(bwoutcome.Reason_tooLarge, 0), "the payload is larger than 1 MiB"
+	}
+	if err != nil {
+		return request, malformed, "the payload could not be read: " + err.Error()
+	}
+	request.BudgetMillis = timeout.Milliseconds()
+	request.Size = size
+	request.Body = body
+	request.Checksum = xxhash.Sum64(body)
+	if !p.IsIdempotent() && request.GetIdempotencyKey() == "" {
+		request.IdempotencyKey = uuid.NewString()
+	}
+	return request, nil, ""
+}
+
+// profileOf returns the request's profile if it serves the request's service.
+func (e *Entry) profileOf(r *bwpeer.SubmitRequest) *bwprofile.Profile {
+	v := e.replica.Version()
+	p := v.Profile(r.GetProfile())
+	if p == nil {
+		return nil
+	}
+	pool := v.Pool(p.GetPool())
+	if pool == nil || pool.GetService() != r.GetService() {
+		return nil
+	}
+	return p
+}
+
+// parseTimeout returns the time that the request may take. It never exceeds the time
+// for which its key is remembered.
+func parseTimeout(value string, p *bwprofile.Profile) (time.Duration, error) {
+	if value == "" {
+		return p.Timeout(), nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		return 0, errors.New("Basilwood-Timeout is not a duration such as 1500ms")
+	}
+	if d < time.Millisecond {
+		return 0, errors.New("Basilwood-Timeout must be at least 1ms")
+	}
+	return min(d, p.KeyWindow(), bwprofile.MaxTimeout), nil
+}
+
+func parseSize(value string) (int32, error) {
+	if value == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(value, 10, 32)
+	if err != nil || n < 0 || n > math.MaxInt32 {
+		return 0, errors.New("Basilwood-Size is the number of processor cores that the request needs")
+	}
+	return int32(n), nil
+}
+
+// writeAnswer passes a target's answer on whole.
+func writeAnswer(w http.ResponseWriter, o *bwoutcome.Outcome) {
+	h := w.Header()
+	h.Set(HeaderOutcome, o.GetKind().String())
+	if o.GetReplayed() {
+		h.Set(HeaderReplayed, "true")
+	}
+	if o.GetContentType() != "" {
+		h.Set("Content-Type", o.GetContentType())
+	}
+	h.Set("Content-Length", strconv.Itoa(len(o.GetBody())))
+	w.WriteHeader(o.HTTPStatus())
+	// A failed write means that the caller is gone; the account keeps the outcome.
+	_, _ = w.Write(o.GetBody())
+}
+
+// writeProblem answers a request that did not run or whose outcome is unknown.
+func (e *Entry) writeProblem(w http.ResponseWriter, r *bwpeer.SubmitRequest, o *bwoutcome.Outcome, message string) {
+	if message == "" {
+		message = o.GetReason().Sentence()
+	}
+	h := w.Header()
+	h.Set(HeaderOutcome, o.GetKind().String())
+	if o.GetRetryAfterMillis() > 0 {
+		seconds := math.Ceil(float64(o.GetRetryAfterMillis()) / 1000)
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	writeJSON(w, o.HTTPStatus(), Problem{
+		Outcome:          o.GetKind().String(),
+		Reason:           o.GetReason().String(),
+		Message:          message,
+		RequestID:        r.GetRequestId(),
+		IdempotencyKey:   r.GetIdempotencyKey(),
+		RetryAfterMillis: o.GetRetryAfterMillis(),
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// AccountList is the JSON reply to a search for accounts.
+type AccountList struct {
+	Accounts []json.RawMessage `json:"accounts"`
+	// Complete is false when an entry or the store did not answer.
+	Complete bool `json:"complete"`
+}
+
+// serveAccount answers what became of one request.
+func (e *Entry) serveAccount(w http.ResponseWriter, r *http.Request) {
+	e.replyFound(w, r, &bwpeer.LookupRequest{RequestId: mux.Vars(r)["id"]})
+}
+
+// serveSearch answers what became of the requests of a key or a caller.
+func (e *Entry) serveSearch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	request := &bwpeer.LookupRequest{IdempotencyKey: query.Get("idempotencyKey"), Caller: query.Get("caller")}
+	if request.GetIdempotencyKey() == "" && request.GetCaller() == "" {
+		writeJSON(w, http.StatusBadRequest, Problem{Reason: "malformed", Message: "give idempotencyKey, or caller with since"})
+		return
+	}
+	if since := query.Get("since"); since != "" {
+		at, err := time.Parse(time.RFC3339, since)
+		if err != nil {
+			writeJSON(w, http.StatusBadRequest, Problem{Reason: "malformed", Message: "since is not an RFC 3339 time"})
+			return
+		}
+		request.SinceMillis = at.UnixMilli()
+	}
+	e.replyFound(w, r, request)
+}
+
+func (e *Entry) replyFound(w http.ResponseWriter, r *http.Request, request *bwpeer.LookupRequest) {
+	var addresses []string
+	for _, m := range e.mesh.others() {
+		addresses = append(addresses, m.Address())
+	}
+	own := e.book.Find(bwsearch.QueryOf(request))
+	found := bwsearch.Find(r.Context(), e.peers, addresses, e.store, own, request)
+	list := AccountList{Accounts: []json.RawMessage{}, Complete: found.IsComplete()}
+	for _, a := range found.Accounts()[:min(len(found.Accounts()), maxAccountRows)] {
+		data, err := bwcodec.Marshal(a)
+		if err != nil {
+			e.log.Error("account could not be encoded", "requestId", a.GetRequestId(), "error", err)
+			continue
+		}
+		list.Accounts = append(list.Accounts, data)
+	}
+	status := http.StatusOK
+	if len(list.Accounts) == 0 {
+		status = http.StatusNotFound
+	}
+	writeJSON(w, status, list)
+}
+
+// Cancellation is the JSON reply to a cancellation.
+type Cancellation struct {
+	RequestID string `json:"requestId"`
+	Result    string `json:"result"`
+}
+
+// serveCancel cancels a request that has not started.
+func (e *Entry) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	result := bwpeer.CancelResult_notFound
+	incarnation := bwaccount.IncarnationOf(id)
+	if incarnation == e.incarnation {
+		result = e.cancel(r.Context(), id)
+	}
+	for _, m := range e.mesh.others() {
+		if m.Incarnation() == incarnation {
+			result = e.cancelAt(r.Context(), m.Address(), id)
+		}
+	}
+	status := http.StatusOK
+	if result == bwpeer.CancelResult_notFound {
+		status = http.StatusNotFound
+	}
+	writeJSON(w, status, Cancellation{RequestID: id, Result: result.String()})
+}
--- /dev/null
+++ b/bwentry/entry.go
@@ -0,0 +1,270 @@
+// Package bwentry is the process that callers talk to.
+//
+// An Entry has four parts. The receiver answers callers' HTTP: it checks a request,
+// picks a home entry and relays the outcome. The home (bwhome) runs the requests of
+// the targets that this entry is responsible for. The claim owner (bwclaim) commits
+// idempotency keys for its share of the shards. The mesh exchanges heartbeats with the
+// other entries and recomputes who is responsible for what. An entry keeps nothing on
+// disk; what must last is in the store.
+package bwentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwclaim"
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwhome"
+	"basilwood.example/basilwood/bwmember"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwqueue"
+	"basilwood.example/basilwood/bwroute"
+	"basilwood.example/basilwood/bwstore"
+	"basilwood.example/basilwood/bwtarget"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+)
+
+// Identity says who and where the entry is. Its settings give it.
+type Identity struct {
+	ID         string
+	DataCentre string
+	// PeerAddress is the IP number and port that other processes call.
+	PeerAddress string
+}
+
+// Listeners are the sockets that the entry serves.
+type Listeners struct {
+	Callers    net.Listener
+	Peers      net.Listener
+	Operations net.Listener
+}
+
+const (
+	defaultAccounts    = 50_000
+	defaultClaimWrites = 120
+	defaultDrainDelay  = 500 * time.Millisecond
+	defaultStopTimeout = 30 * time.Second
+)
+
+// Entry is one entry process. It is safe for concurrent use.
+type Entry struct {
+	identity    Identity
+	incarnation string
+	clock       bwclock.Clock
+	log         hclog.Logger
+	store       *bwstore.Client
+	platform    *bwplatform.Client
+	peers       *bwpeer.Peers
+	seeds       []string
+	policy      bwqueue.Policy
+	route       bwroute.Policy
+	dialTarget  bwtarget.DialContext
+	accounts    int
+	claimWrites float64
+	drainDelay  time.Duration
+	stopTimeout time.Duration
+
+	replica   *bwconfig.Replica
+	freshness *bwconfig.Freshness
+	syncer    *bwconfig.Syncer
+	owner     *bwclaim.Owner
+	home      *bwhome.Home
+	book      *bwaccount.Book
+	writer    *bwaccount.Writer
+	metrics   *metrics
+	mesh      *mesh
+	registrar *bwmember.Registrar
+
+	requests atomic.Int64
+	leaving  atomic.Bool
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	pendingMu sync.Mutex
+	pending   map[string]bwmember.Member
+}
+
+// Option changes an Entry under construction.
+type Option func(*Entry)
+
+// WithLog sets the logger.
+func WithLog(l hclog.Logger) Option { return func(e *Entry) { e.log = l } }
+
+// WithClock sets the clock.
+func WithClock(c bwclock.Clock) Option { return func(e *Entry) { e.clock = c } }
+
+// WithSeeds sets peer addresses to start from while the store is down.
+func WithSeeds(addresses []string) Option { return func(e *Entry) { e.seeds = addresses } }
+
+// WithQueuePolicy sets the rule for the order of requests.
+func WithQueuePolicy(p bwqueue.Policy) Option { return func(e *Entry) { e.policy = p } }
+
+// WithRoutePolicy sets the rule for the choice of a home.
+func WithRoutePolicy(p bwroute.Policy) Option { return func(e *Entry) { e.route = p } }
+
+// WithDials sets how peers and targets are connected, for in-memory connections.
+func WithDials(peer bwpeer.Dialer, target bwtarget.DialContext) Option {
+	return func(e *Entry) {
+		e.peers = bwpeer.NewPeers(peer)
+		e.dialTarget = target
+	}
+}
+
+// WithClaimWrites sets the store writes per second that all entries together may use
+// for claims.
+func WithClaimWrites(perSecond float64) Option {
+	return func(e *Entry) { e.claimWrites = perSecond }
+}
+
+// WithStopTimeout bounds a planned stop.
+func WithStopTimeout(d time.Duration) Option { return func(e *Entry) { e.stopTimeout = d } }
+
+// New returns an entry that is not running yet.
+func New(id Identity, s *bwstore.Client, p *bwplatform.Client, options ...Option) *Entry {
+	e := &Entry{
+		identity:    id,
+		clock:       bwclock.New(),
+		log:         hclog.NewNullLogger(),
+		store:       s,
+		platform:    p,
+		accounts:    defaultAccounts,
+		claimWrites: defaultClaimWrites,
+		drainDelay:  defaultDrainDelay,
+		stopTimeout: defaultStopTimeout,
+		replica:     new(bwconfig.Replica),
+		freshness:   new(bwconfig.Freshness),
+		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		pending:     make(map[string]bwmember.Member),
+	}
+	e.peers = bwpeer.NewPeers(bwpeer.DialTCP)
+	for _, o := range options {
+		o(e)
+	}
+	e.incarnation = bwmember.NewIncarnation(id.ID, e.clock.Now())
+	e.log = e.log.With("entry", e.incarnation)
+	e.build()
+	return e
+}
+
+// build connects the parts.
+func (e *Entry) build() {
+	e.mesh = newMesh(e)
+	e.syncer = bwconfig.NewSyncer(e.store, e.replica, e.freshness, e.clock, e.log.Named("config"), e.mesh.refreshSoon)
+	e.owner = bwclaim.NewOwner(e.store, e.incarnation, e.clock, e.log.Named("claims"))
+	e.book = bwaccount.NewBook(e.accounts)
+	e.writer = bwaccount.NewWriter(e.book, e.store, e.incarnation, e.log.Named("accounts"))
+	e.home = bwhome.New(e.incarnation, e.clock, &claimRouter{entry: e}, e.freshness, e.book,
+		bwhome.WithPolicy(e.policy), bwhome.WithDial(e.dialTarget), bwhome.WithLog(e.log.Named("home")))
+	e.metrics = newMetrics(e)
+	e.registrar = bwmember.NewRegistrar(e.store, bwconfig.EntryKey(e.identity.ID), &bwpeer.Beat{
+		Id:          e.identity.ID,
+		Incarnation: e.incarnation,
+		Address:     e.identity.PeerAddress,
+		DataCentre:  e.identity.DataCentre,
+	}, e.log.Named("registrar"))
+}
+
+// Incarnation returns the name of this run of the entry.
+func (e *Entry) Incarnation() string { return e.incarnation }
+
+// appliedRevision returns the configuration revision that requests are run by.
+func (e *Entry) appliedRevision() int64 { return e.mesh.applied.Load() }
+
+// IsReady reports whether the entry can serve callers.
+func (e *Entry) IsReady() bool {
+	return e.replica.IsLoaded() && !e.leaving.Load()
+}
+
+// Run serves until ctx ends and then stops in order: it announces its leaving, gives
+// queued requests back, finishes running ones, stores the accounts and gives up its
+// lease. It reports whether every request finished within the stop timeout.
+func (e *Entry) Run(ctx context.Context, l Listeners) (isClean bool, err error) {
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	group, inner := errgroup.WithContext(background)
+	callers := newServer(e.callerRoutes())
+	operations := newServer(e.operationRoutes())
+	group.Go(func() error { return serve(callers, l.Callers) })
+	group.Go(func() error { return serve(operations, l.Operations) })
+	group.Go(func() error { return ignoreCancel(inner, bwpeer.Serve(inner, l.Peers, &peerServer{entry: e})) })
+	for _, run := range []func(context.Context){
+		e.syncer.Run, e.syncer.Ticker, e.home.Run, e.writer.Run, e.mesh.run, e.registrar.Run, e.mesh.pollPlatform,
+	} {
+		group.Go(func() error {
+			run(inner)
+			return nil
+		})
+	}
+	e.log.Info("entry started", "dataCentre", e.identity.DataCentre, "peers", e.identity.PeerAddress)
+	select {
+	case <-ctx.Done():
+	case <-inner.Done():
+	}
+	isClean = e.stop(callers)
+	stopBackground()
+	_ = operations.Close()
+	err = group.Wait()
+	e.owner.Close()
+	e.peers.Close()
+	e.log.Info("entry stopped", "clean", isClean)
+	return isClean, err
+}
+
+// stop carries out a planned stop.
+func (e *Entry) stop(callers *http.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), e.stopTimeout)
+	defer cancel()
+	e.leaving.Store(true)
+	e.mesh.announce(ctx)
+	// The balancer sees the failing readiness check before the listener closes.
+	time.Sleep(e.drainDelay)
+	homeDone := e.home.Stop(ctx)
+	callersDone := callers.Shutdown(ctx) == nil
+	e.writer.Flush(ctx)
+	e.registrar.Leave(ctx)
+	return homeDone && callersDone
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// ignoreCancel drops the error of a server that was told to end.
+func ignoreCancel(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// newServer returns an HTTP server that a slow client cannot hold for ever.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/bwentry/mesh.go
@@ -0,0 +1,324 @@
+package bwentry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwmember"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwroute"
+	"basilwood.example/basilwood/bwstore"
+)
+
+const (
+	beatTimeout      = 800 * time.Millisecond
+	pullTimeout      = 2 * time.Second
+	refreshInterval  = 100 * time.Millisecond
+	platformInterval = time.Second
+)
+
+// mesh keeps the entry's view of the other entries and derives from it which hosts and
+// claim shards the entry is responsible for.
+type mesh struct {
+	entry *Entry
+	wake  chan struct{}
+	// applied is the configuration revision that the home works by.
+	applied atomic.Int64
+
+	mu      sync.Mutex
+	view    *bwmember.View
+	table   bwroute.Table
+	leaving map[string]bool
+	beating map[string]bool
+	reach   map[string]*reach
+}
+
+// reach is the context of the calls to one run of another entry. It ends when that
+// entry can no longer be reached.
+type reach struct {
+	incarnation string
+	ctx         context.Context
+	cancel      context.CancelFunc
+}
+
+func newMesh(e *Entry) *mesh {
+	m := &mesh{
+		entry:   e,
+		wake:    make(chan struct{}, 1),
+		leaving: make(map[string]bool),
+		beating: make(map[string]bool),
+		reach:   make(map[string]*reach),
+	}
+	m.view = bwmember.NewView(&bwpeer.Beat{
+		Id:          e.identity.ID,
+		Incarnation: e.incarnation,
+		Address:     e.identity.PeerAddress,
+		DataCentre:  e.identity.DataCentre,
+	})
+	return m
+}
+
+// refreshSoon has the responsibilities computed again.
+func (m *mesh) refreshSoon() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends heartbeats and refreshes until ctx ends.
+func (m *mesh) run(ctx context.Context) {
+	beats := time.NewTicker(bwmember.BeatInterval)
+	defer beats.Stop()
+	refreshes := time.NewTicker(refreshInterval)
+	defer refreshes.Stop()
+	m.beatAll(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beats.C:
+			m.beatAll(ctx)
+		case <-refreshes.C:
+			m.refresh()
+		case <-m.wake:
+			m.refresh()
+		}
+	}
+}
+
+// refresh adopts the current configuration and membership.
+func (m *mesh) refresh() {
+	v := m.entry.replica.Version()
+	beat := m.selfBeat()
+	m.mu.Lock()
+	now := m.entry.clock.Now()
+	m.view.SetSelf(beat)
+	m.view.Register(v.Registered(), now)
+	live := m.view.Live(now)
+	m.table = bwroute.Build(v, live, func(host string) bool { return m.leaving[host] })
+	table := m.table
+	m.updateReach(m.view.Reachable(now))
+	m.mu.Unlock()
+	m.entry.store.SetWriteLimit(bwstore.ClassClaims, m.entry.claimWrites/float64(max(1, len(live))))
+	if !m.entry.leaving.Load() {
+		m.entry.home.Configure(v, table.Assignment())
+	}
+	m.applied.Store(v.Revision())
+}
+
+// updateReach ends the calls to entries that cannot be reached; the caller holds the lock.
+func (m *mesh) updateReach(reachable []bwmember.Member) {
+	current := make(map[string]string, len(reachable))
+	for _, member := range reachable {
+		current[member.ID()] = member.Incarnation()
+	}
+	for id, r := range m.reach {
+		if current[id] != r.incarnation {
+			r.cancel()
+			delete(m.reach, id)
+		}
+	}
+}
+
+// reachOf returns the context of calls to a member.
+func (m *mesh) reachOf(member bwmember.Member) context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.reach[member.ID()]
+	if r == nil || r.incarnation != member.Incarnation() {
+		ctx, cancel := context.WithCancel(context.Background())
+		r = &reach{incarnation: member.Incarnation(), ctx: ctx, cancel: cancel}
+		m.reach[member.ID()] = r
+	}
+	return r.ctx
+}
+
+// selfBeat returns the facts about this entry.
+func (m *mesh) selfBeat() *bwpeer.Beat {
+	e := m.entry
+	return &bwpeer.Beat{
+		Id:              e.identity.ID,
+		Incarnation:     e.incarnation,
+		Address:         e.identity.PeerAddress,
+		DataCentre:      e.identity.DataCentre,
+		Leaving:         e.leaving.Load(),
+		Revision:        e.replica.Version().Revision(),
+		FreshnessMillis: e.freshness.Age(e.clock.Now()).Milliseconds(),
+		Loads:           e.home.Loads(),
+	}
+}
+
+// currentTable returns the routing table.
+func (m *mesh) currentTable() bwroute.Table {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table
+}
+
+// live returns the entries that share the work.
+func (m *mesh) live() []bwmember.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Live(m.entry.clock.Now())
+}
+
+// self returns the process itself.
+func (m *mesh) self() bwmember.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Self()
+}
+
+// others returns every other known entry.
+func (m *mesh) others() []bwmember.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Others()
+}
+
+// reachable returns the entries that answer heartbeats, leaving ones included.
+func (m *mesh) reachable() []bwmember.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Reachable(m.entry.clock.Now())
+}
+
+func (m *mesh) hasIncarnation(incarnation string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.HasIncarnation(incarnation, m.entry.clock.Now())
+}
+
+// hear takes in a heartbeat.
+func (m *mesh) hear(b *bwpeer.Beat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Hear(b, m.entry.clock.Now())
+}
+
+// beatAll sends a heartbeat to each known entry and seed that has none under way.
+func (m *mesh) beatAll(ctx context.Context) {
+	addresses := make(map[string]bool)
+	for _, member := range m.others() {
+		addresses[member.Address()] = true
+	}
+	for _, address := range m.entry.seeds {
+		addresses[address] = true
+	}
+	delete(addresses, m.entry.identity.PeerAddress)
+	for address := range addresses {
+		if m.startBeat(address) {
+			go m.beat(ctx, address)
+		}
+	}
+}
+
+func (m *mesh) startBeat(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.beating[address] {
+		return false
+	}
+	m.beating[address] = true
+	return true
+}
+
+func (m *mesh) endBeat(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.beating, address)
+}
+
+// beat exchanges one heartbeat and follows up a higher revision of the peer.
+func (m *mesh) beat(ctx context.Context, address string) {
+	defer m.endBeat(address)
+	sent := m.entry.clock.Now()
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	reply, err := m.entry.peers.Client(call, address).Heartbeat(call, m.selfBeat())
+	if err != nil {
+		m.entry.peers.Reset(address)
+		return
+	}
+	m.hear(reply)
+	m.adopt(ctx, address, reply, sent)
+}
+
+// adopt pulls newer configuration from a peer and takes over its confirmation.
+func (m *mesh) adopt(ctx context.Context, address string, reply *bwpeer.Beat, sent bwclock.Time) {
+	own := m.entry.replica.Version().Revision()
+	if reply.GetRevision() > own || (!m.entry.replica.IsLoaded() && reply.GetRevision() > 0) {
+		m.pull(ctx, address, own)
+	}
+	if m.entry.replica.IsLoaded() && m.entry.replica.Version().Revision() >= reply.GetRevision() {
+		age := time.Duration(reply.GetFreshnessMillis()) * time.Millisecond
+		m.entry.freshness.Confirm(sent.Add(-age))
+	}
+}
+
+func (m *mesh) pull(ctx context.Context, address string, after int64) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := m.entry.peers.Client(ctx, address).Pull(ctx, &bwpeer.PullRequest{AfterRevision: after})
+	if err != nil {
+		m.entry.log.Warn("configuration could not be pulled from a peer", "address", address, "error", err)
+		return
+	}
+	m.entry.replica.ApplyPull(after, reply)
+	m.refreshSoon()
+}
+
+// announce tells every peer at once that the entry leaves.
+func (m *mesh) announce(ctx context.Context) {
+	m.refresh()
+	var group sync.WaitGroup
+	for _, member := range m.others() {
+		group.Go(func() {
+			call, cancel := context.WithTimeout(ctx, beatTimeout)
+			defer cancel()
+			// A peer that misses this learns it from the next heartbeat.
+			_, _ = m.entry.peers.Client(call, member.Address()).Heartbeat(call, m.selfBeat())
+		})
+	}
+	group.Wait()
+}
+
+// pollPlatform follows the platform's list of leaving hosts until ctx ends. While the
+// platform does not answer, the last list stays in use.
+func (m *mesh) pollPlatform(ctx context.Context) {
+	for ctx.Err() == nil {
+		reports, err := m.entry.platform.Hosts(ctx)
+		if err == nil {
+			m.setLeaving(reports)
+		}
+		wait(ctx, platformInterval)
+	}
+}
+
+func (m *mesh) setLeaving(reports []bwplatform.HostReport) {
+	leaving := make(map[string]bool)
+	for _, r := range reports {
+		if r.State != bwplatform.HostLive {
+			leaving[r.Host] = true
+		}
+	}
+	m.mu.Lock()
+	m.leaving = leaving
+	m.mu.Unlock()
+	m.refreshSoon()
+}
+
+// wait sleeps for d unless ctx ends first.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/bwentry/operations.go
@@ -0,0 +1,133 @@
+package bwentry
+
+import (
+	"net/http"
+	"time"
+
+	"basilwood.example/basilwood/bwhome"
+	"basilwood.example/basilwood/bwoutcome"
+	"basilwood.example/basilwood/bwpeer"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are the entry's metrics, listed in docs/METRICS.md.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+func newMetrics(e *Entry) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "basilwood_requests_total",
+			Help: "Requests by profile, outcome and reason.",
+		}, []string{"profile", "outcome", "reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "basilwood_request_duration_seconds",
+			Help:    "Time from the arrival of a request to its outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 15),
+		}, []string{"profile"}),
+	}
+	m.registry.MustRegister(m.requests, m.seconds)
+	m.gauge("basilwood_config_revision", "Store revision of the configuration in force.", func() float64 {
+		return float64(e.appliedRevision())
+	})
+	m.gauge("basilwood_config_age_seconds", "Time since the configuration was confirmed.", func() float64 {
+		return e.freshness.Age(e.clock.Now()).Seconds()
+	})
+	m.gauge("basilwood_config_invalid_values", "Configuration values that could not be decoded.", func() float64 {
+		return float64(e.replica.InvalidCount())
+	})
+	m.gauge("basilwood_entries_live", "Entries that share the work.", func() float64 {
+		return float64(len(e.mesh.live()))
+	})
+	m.gauge("basilwood_accounts", "Accounts in memory.", func() float64 { return float64(e.book.Len()) })
+	return m
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+func (m *metrics) count(r *bwpeer.SubmitRequest, o *bwoutcome.Outcome, took time.Duration) {
+	m.requests.WithLabelValues(r.GetProfile(), o.GetKind().String(), o.GetReason().String()).Inc()
+	m.seconds.WithLabelValues(r.GetProfile()).Observe(took.Seconds())
+}
+
+// operationRoutes returns the operators' interface of the process.
+func (e *Entry) operationRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
+	r.HandleFunc("/debug/state", e.serveState)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
+	r.HandleFunc("/readyz", e.serveReady)
+	return r
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.IsReady() {
+		writeJSON(w, http.StatusServiceUnavailable, "not ready")
+		return
+	}
+	writeJSON(w, http.StatusOK, "ready")
+}
+
+// State is the dump of the process's state.
+type State struct {
+	Entry         string                `json:"entry"`
+	DataCentre    string                `json:"dataCentre"`
+	Leaving       bool                  `json:"leaving"`
+	Revision      int64                 `json:"revision"`
+	ConfigAge     string                `json:"configAge"`
+	Gate          string                `json:"gate"`
+	Members       []MemberState         `json:"members"`
+	Services      []bwhome.ServiceState `json:"services"`
+	Accounts      int                   `json:"accounts"`
+	InvalidValues int                   `json:"invalidValues"`
+}
+
+// MemberState describes one other entry as this one knows it.
+type MemberState struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"dataCentre"`
+	Reachable   bool   `json:"reachable"`
+	Leaving     bool   `json:"leaving"`
+	Revision    int64  `json:"revision"`
+}
+
+func (e *Entry) serveState(w http.ResponseWriter, _ *http.Request) {
+	now := e.clock.Now()
+	s := State{
+		Entry:         e.incarnation,
+		DataCentre:    e.identity.DataCentre,
+		Leaving:       e.leaving.Load(),
+		Revision:      e.appliedRevision(),
+		ConfigAge:     e.freshness.Age(now).String(),
+		Gate:          e.freshness.Gate(now).String(),
+		Services:      e.home.State(),
+		Accounts:      e.book.Len(),
+		InvalidValues: e.replica.InvalidCount(),
+	}
+	reachable := make(map[string]bool)
+	for _, m := range e.mesh.reachable() {
+		reachable[m.ID()] = true
+	}
+	for _, m := range e.mesh.others() {
+		s.Members = append(s.Members, MemberState{
+			ID:          m.ID(),
+			Incarnation: m.Incarnation(),
+			Address:     m.Address(),
+			DataCentre:  m.DataCentre(),
+			Reachable:   reachable[m.ID()],
+			Leaving:     m.IsLeaving(),
+			Revision:    m.Revision(),
+		})
+	}
+	writeJSON(w, http.StatusOK, s)
+}
--- /dev/null
+++ b/bwentry/peerserver.go
@@ -0,0 +1,74 @@
+package bwentry
+
+import (
+	"context"
+	"time"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwclaim"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwsearch"
+)
+
+// peerServer answers calls of other entries and of controllers.
+type peerServer struct {
+	entry *Entry
+}
+
+// Submit runs a request at this home.
+func (p *peerServer) Submit(ctx context.Context, r *bwpeer.SubmitRequest) (*bwpeer.SubmitReply, error) {
+	return p.entry.home.Submit(ctx, r), nil
+}
+
+// Cancel stops a request that was submitted to this home.
+func (p *peerServer) Cancel(ctx context.Context, r *bwpeer.CancelRequest) (*bwpeer.CancelReply, error) {
+	reply := &bwpeer.CancelReply{Incarnation: p.entry.incarnation}
+	if bwaccount.IncarnationOf(r.GetRequestId()) == p.entry.incarnation {
+		reply.Result = p.entry.cancel(ctx, r.GetRequestId())
+		return reply, nil
+	}
+	reply.Result = p.entry.home.Cancel(r.GetRequestId())
+	return reply, nil
+}
+
+// Claim commits a claim for another home.
+func (p *peerServer) Claim(ctx context.Context, r *bwpeer.ClaimRequest) (*bwpeer.ClaimReply, error) {
+	window := time.Duration(r.GetWindowMillis()) * time.Millisecond
+	a := p.entry.owner.Claim(ctx, r.GetRecord(), window)
+	return &bwpeer.ClaimReply{Verdict: bwpeer.Verdict(a.Verdict()), Record: a.Record()}, nil
+}
+
+// Settle commits an outcome for another home.
+func (p *peerServer) Settle(ctx context.Context, r *bwpeer.SettleRequest) (*bwpeer.SettleReply, error) {
+	a := p.entry.owner.Settle(ctx, r.GetRecord())
+	return &bwpeer.SettleReply{Settled: a.Verdict() == bwclaim.Noted}, nil
+}
+
+// Heartbeat takes in a peer's facts and returns this entry's.
+func (p *peerServer) Heartbeat(_ context.Context, b *bwpeer.Beat) (*bwpeer.Beat, error) {
+	p.entry.mesh.hear(b)
+	return p.entry.mesh.selfBeat(), nil
+}
+
+// Lookup returns the accounts that this entry knows.
+func (p *peerServer) Lookup(_ context.Context, r *bwpeer.LookupRequest) (*bwpeer.LookupReply, error) {
+	return &bwpeer.LookupReply{Accounts: p.entry.book.Find(bwsearch.QueryOf(r))}, nil
+}
+
+// Pull returns the configuration changes after a revision.
+func (p *peerServer) Pull(_ context.Context, r *bwpeer.PullRequest) (*bwpeer.PullReply, error) {
+	return p.entry.replica.ItemsAfter(r.GetAfterRevision()), nil
+}
+
+// HostStatus tells a controller whether this entry still uses a host.
+func (p *peerServer) HostStatus(_ context.Context, r *bwpeer.HostStatusRequest) (*bwpeer.HostStatusReply, error) {
+	// The revision is read first, so that the rest is at least as new.
+	revision := p.entry.appliedRevision()
+	inFlight, dispatching := p.entry.home.HostStatus(r.GetHost())
+	return &bwpeer.HostStatusReply{
+		Entry:       p.entry.incarnation,
+		Revision:    revision,
+		InFlight:    int32(inFlight),
+		Dispatching: dispatching,
+	}, nil
+}
--- /dev/null
+++ b/bwentry/receiver.go
@@ -0,0 +1,220 @@
+package bwentry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwmember"
+	"basilwood.example/basilwood/bwoutcome"
+	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwroute"
+)
+
+const (
+	maxHandovers  = 4
+	replyGrace    = 500 * time.Millisecond
+	cancelTimeout = 500 * time.Millisecond
+	noTargetPause = 50 * time.Millisecond
+	retryAfter    = time.Second
+)
+
+// nextRequestID returns an id that starts with the incarnation of this entry.
+func (e *Entry) nextRequestID() string {
+	return e.incarnation + "-" + strconv.FormatInt(e.requests.Add(1), 36)
+}
+
+// execute runs a request through the homes of its service and keeps its account.
+func (e *Entry) execute(ctx context.Context, r *bwpeer.SubmitRequest) *bwoutcome.Outcome {
+	now := e.clock.Now()
+	deadline := now.Add(time.Duration(r.GetBudgetMillis()) * time.Millisecond)
+	e.openAccount(r, now)
+	o := e.handOver(ctx, r, deadline)
+	e.book.Close(r.GetRequestId(), o, true)
+	e.metrics.count(r, o, e.clock.Now().Sub(now))
+	return o
+}
+
+func (e *Entry) openAccount(r *bwpeer.SubmitRequest, now bwclock.Time) {
+	e.book.Open(&bwaccount.Account{
+		RequestId:      r.GetRequestId(),
+		IdempotencyKey: r.GetIdempotencyKey(),
+		Caller:         r.GetCaller(),
+		Profile:        r.GetProfile(),
+		Service:        r.GetService(),
+		ReceivedMillis: now.Millis(),
+		Receiver:       true,
+		Events:         []*bwaccount.Event{{AtMillis: now.Millis(), Entry: e.incarnation}},
+	})
+}
+
+// handOver tries homes until one gives an outcome. A refusal by one home proves
+// nothing about an earlier home that was lost, so a doubt stays.
+func (e *Entry) handOver(ctx context.Context, r *bwpeer.SubmitRequest, deadline bwclock.Time) *bwoutcome.Outcome {
+	var doubt *bwoutcome.Outcome
+	excluded := make(map[string]bool)
+	for range maxHandovers {
+		budget := deadline.Sub(e.clock.Now())
+		if budget <= 0 {
+			return firstOf(doubt, bwoutcome.NotRun(bwoutcome.Reason_deadlinePassed, retryAfter))
+		}
+		choice := e.choose(r, budget, excluded)
+		if choice.Refusal() != bwoutcome.Reason_none {
+			if choice.Refusal() == bwoutcome.Reason_noTarget && len(excluded) > 0 {
+				// The membership may be changing; the excluded homes may be right again.
+				clear(excluded)
+				wait(ctx, noTargetPause)
+				continue
+			}
+			return firstOf(doubt, bwoutcome.NotRun(choice.Refusal(), max(retryAfter, choice.Wait())))
+		}
+		r.BudgetMillis = budget.Milliseconds()
+		o := e.submit(ctx, choice.Member(), r, budget)
+		switch {
+		case o.GetKind() == bwoutcome.Kind_notRun && isRefusalOfHome(o.GetReason()) && ctx.Err() == nil:
+			excluded[choice.Member().ID()] = true
+		case o.GetKind() == bwoutcome.Kind_unknown && o.GetReason() == bwoutcome.Reason_homeLost && ctx.Err() == nil:
+			// Another home may run the request: it is idempotent, or its key is claimed.
+			doubt = o
+			excluded[choice.Member().ID()] = true
+		case o.GetKind() == bwoutcome.Kind_notRun:
+			return firstOf(doubt, o)
+		default:
+			return o
+		}
+	}
+	return firstOf(doubt, bwoutcome.NotRun(bwoutcome.Reason_noTarget, retryAfter))
+}
+
+func firstOf(doubt, o *bwoutcome.Outcome) *bwoutcome.Outcome {
+	if doubt != nil {
+		return doubt
+	}
+	return o
+}
+
+// isRefusalOfHome reports whether another home may accept the request.
+func isRefusalOfHome(r bwoutcome.Reason) bool {
+	switch r {
+	case bwoutcome.Reason_notHome, bwoutcome.Reason_entryStopping, bwoutcome.Reason_homeLost:
+		return true
+	}
+	return false
+}
+
+func (e *Entry) choose(r *bwpeer.SubmitRequest, budget time.Duration, excluded map[string]bool) bwroute.Choice {
+	q := bwroute.Query{
+		Service:    r.GetService(),
+		Profile:    r.GetProfile(),
+		DataCentre: e.identity.DataCentre,
+		Budget:     budget,
+		Excluded:   excluded,
+	}
+	table := e.mesh.currentTable()
+	e.randomMu.Lock()
+	defer e.randomMu.Unlock()
+	return bwroute.Choose(table, e.route, q, e.random)
+}
+
+// submit hands the request to one home and relays the outcome.
+func (e *Entry) submit(ctx context.Context, m bwmember.Member, r *bwpeer.SubmitRequest, budget time.Duration) *bwoutcome.Outcome {
+	e.setPending(r.GetRequestId(), m)
+	defer e.clearPending(r.GetRequestId())
+	e.noteForward(r, m)
+	if m.IsSelf() {
+		reply := e.home.Submit(ctx, r)
+		e.book.Note(r.GetRequestId(), reply.GetEvents()...)
+		return reply.GetOutcome()
+	}
+	reply, err := e.callSubmit(ctx, m, r, budget)
+	if err != nil {
+		return e.afterLoss(m, r, err)
+	}
+	if reply.GetRequestId() != r.GetRequestId() || !reply.GetOutcome().IsWhole() {
+		return bwoutcome.Unknown(bwoutcome.Reason_answerInvalid)
+	}
+	e.book.Note(r.GetRequestId(), reply.GetEvents()...)
+	return reply.GetOutcome()
+}
+
+func (e *Entry) callSubmit(ctx context.Context, m bwmember.Member, r *bwpeer.SubmitRequest, budget time.Duration) (*bwpeer.SubmitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, budget+replyGrace)
+	defer cancel()
+	stop := context.AfterFunc(e.mesh.reachOf(m), cancel)
+	defer stop()
+	return e.peers.Client(ctx, m.Address()).Submit(ctx, r)
+}
+
+// afterLoss asks the home to cancel a request whose reply did not come. Only an answer
+// of the same run of that entry proves that the request did not run.
+func (e *Entry) afterLoss(m bwmember.Member, r *bwpeer.SubmitRequest, err error) *bwoutcome.Outcome {
+	if bwpeer.IsDialError(err) {
+		return bwoutcome.NotRun(bwoutcome.Reason_homeLost, retryAfter)
+	}
+	e.log.Warn("home did not answer", "requestId", r.GetRequestId(), "home", m.ID(), "error", err)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	reply, err := e.peers.Client(ctx, m.Address()).Cancel(ctx, &bwpeer.CancelRequest{RequestId: r.GetRequestId()})
+	isSameRun := err == nil && reply.GetIncarnation() == m.Incarnation()
+	if isSameRun && reply.GetResult() == bwpeer.CancelResult_cancelledBeforeStart {
+		return bwoutcome.NotRun(bwoutcome.Reason_homeLost, retryAfter)
+	}
+	e.book.Note(r.GetRequestId(), &bwaccount.Event{
+		Kind:     bwaccount.EventKind_doubted,
+		AtMillis: e.clock.Now().Millis(),
+		Entry:    e.incarnation,
+		Host:     m.ID(),
+		Reason:   bwoutcome.Reason_homeLost,
+	})
+	return bwoutcome.Unknown(bwoutcome.Reason_homeLost)
+}
+
+func (e *Entry) noteForward(r *bwpeer.SubmitRequest, m bwmember.Member) {
+	e.book.Note(r.GetRequestId(), &bwaccount.Event{
+		Kind:     bwaccount.EventKind_forwarded,
+		AtMillis: e.clock.Now().Millis(),
+		Entry:    e.incarnation,
+		Host:     m.ID(),
+	})
+}
+
+func (e *Entry) setPending(id string, m bwmember.Member) {
+	e.pendingMu.Lock()
+	defer e.pendingMu.Unlock()
+	e.pending[id] = m
+}
+
+func (e *Entry) clearPending(id string) {
+	e.pendingMu.Lock()
+	defer e.pendingMu.Unlock()
+	delete(e.pending, id)
+}
+
+// cancel stops a request that this entry received, wherever it is queued.
+func (e *Entry) cancel(ctx context.Context, id string) bwpeer.CancelResult {
+	e.pendingMu.Lock()
+	m, ok := e.pending[id]
+	e.pendingMu.Unlock()
+	if ok && m.IsSelf() {
+		return e.home.Cancel(id)
+	}
+	if ok {
+		return e.cancelAt(ctx, m.Address(), id)
+	}
+	if len(e.book.Find(bwaccount.ByRequest(id))) > 0 {
+		return bwpeer.CancelResult_alreadyFinished
+	}
+	return bwpeer.CancelResult_notFound
+}
+
+func (e *Entry) cancelAt(ctx context.Context, address, id string) bwpeer.CancelResult {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	reply, err := e.peers.Client(ctx, address).Cancel(ctx, &bwpeer.CancelRequest{RequestId: id})
+	if err != nil {
+		return bwpeer.CancelResult_notFound
+	}
+	return reply.GetResult()
+}
--- /dev/null
+++ b/bwhome/state.go
@@ -0,0 +1,49 @@
+package bwhome
+
+import "sort"
+
+// ServiceState is the dump of one service at one entry.
+type ServiceState struct {
+	Service string        `json:"service"`
+	Pool    string        `json:"pool"`
+	Slots   int           `json:"slots"`
+	Busy    int           `json:"busy"`
+	Queued  int           `json:"queued"`
+	Targets []TargetState `json:"targets"`
+}
+
+// TargetState is the dump of one target at its home.
+type TargetState struct {
+	Host     string `json:"host"`
+	Homed    bool   `json:"homed"`
+	InFlight int    `json:"inFlight"`
+	Health   string `json:"health"`
+}
+
+// State returns a dump of every service.
+func (h *Home) State() []ServiceState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	states := make([]ServiceState, 0, len(h.services))
+	for _, s := range h.services {
+		state := ServiceState{
+			Service: s.name,
+			Pool:    s.pool,
+			Slots:   s.slots(),
+			Busy:    s.queue.InUse(),
+			Queued:  s.queue.Len(),
+		}
+		for _, t := range s.sorted() {
+			state.Targets = append(state.Targets, TargetState{
+				Host:     t.host.GetName(),
+				Homed:    t.isHomed,
+				InFlight: t.inFlight,
+				Health:   t.health.State(now).String(),
+			})
+		}
+		states = append(states, state)
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Service < states[j].Service })
+	return states
+}
