cmd: entry, controller, operator, stand-in and load programs; make run

make run starts the stand-ins, 3 entries and 3 controllers, offers load while an entry is stopped, a host moved and a pool maintained, and compares replies, accounts and executions.

--- /dev/null
+++ b/bwadmin/client.go
@@ -0,0 +1,171 @@
+// Package bwadmin is the client of the controllers' administration API, and holds the
+// file format that operators apply.
+package bwadmin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"basilwood.example/basilwood/bwcontroller"
+	"github.com/samber/oops"
+)
+
+const (
+	callTimeout  = 10 * time.Second
+	waitInterval = 100 * time.Millisecond
+)
+
+// AnyRevision stands for a change without an expected revision.
+const AnyRevision int64 = -1
+
+// FailureError is a call that the controller did not carry out.
+type FailureError struct {
+	failure bwcontroller.Failure
+}
+
+// Error lists the controller's problems.
+func (f *FailureError) Error() string {
+	return f.failure.Code + ": " + strings.Join(f.failure.Problems, "; ")
+}
+
+// Code returns the controller's failure code.
+func (f *FailureError) Code() string { return f.failure.Code }
+
+// Client calls one controller.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client of the controller at base, a URL without a path.
+func New(base string) *Client {
+	return &Client{base: base, client: &http.Client{Timeout: callTimeout}}
+}
+
+// List returns every value of a kind: profiles, teams, pools or hosts.
+func (c *Client) List(ctx context.Context, kind string) (bwcontroller.ItemList, error) {
+	var list bwcontroller.ItemList
+	return list, c.call(ctx, http.MethodGet, "/v1/"+kind, nil, &list)
+}
+
+// Get returns one value of a kind.
+func (c *Client) Get(ctx context.Context, kind, name string) (bwcontroller.Item, error) {
+	var item bwcontroller.Item
+	return item, c.call(ctx, http.MethodGet, "/v1/"+kind+"/"+name, nil, &item)
+}
+
+// Put stores a value and returns its revision.
+func (c *Client) Put(ctx context.Context, kind, name string, value []byte, expected int64) (int64, error) {
+	var item bwcontroller.Item
+	err := c.call(ctx, http.MethodPut, "/v1/"+kind+"/"+name+expectation(expected), value, &item)
+	return item.Revision, err
+}
+
+// Delete removes a value and returns the revision of the removal.
+func (c *Client) Delete(ctx context.Context, kind, name string, expected int64) (int64, error) {
+	var item bwcontroller.Item
+	err := c.call(ctx, http.MethodDelete, "/v1/"+kind+"/"+name+expectation(expected), nil, &item)
+	return item.Revision, err
+}
+
+func expectation(expected int64) string {
+	if expected == AnyRevision {
+		return ""
+	}
+	return "?expectedRevision=" + strconv.FormatInt(expected, 10)
+}
+
+// MoveHost asks for a move of a host to a pool and returns the revision of the permit.
+func (c *Client) MoveHost(ctx context.Context, host, pool string) (int64, error) {
+	body, err := json.Marshal(bwcontroller.MoveRequest{ToPool: pool})
+	if err != nil {
+		return 0, oops.In("bwadmin").Wrap(err)
+	}
+	var item bwcontroller.Item
+	err = c.call(ctx, http.MethodPost, "/v1/hosts/"+host+"/move", body, &item)
+	return item.Revision, err
+}
+
+// ChangeWave starts, pauses, resumes or cancels the maintenance of a pool.
+func (c *Client) ChangeWave(ctx context.Context, pool, action string) (int64, error) {
+	var item bwcontroller.Item
+	err := c.call(ctx, http.MethodPost, "/v1/pools/"+pool+"/maintenance/"+action, nil, &item)
+	return item.Revision, err
+}
+
+// Maintenance returns the progress of a pool's maintenance.
+func (c *Client) Maintenance(ctx context.Context, pool string) (bwcontroller.MaintenanceStatus, error) {
+	var s bwcontroller.MaintenanceStatus
+	return s, c.call(ctx, http.MethodGet, "/v1/pools/"+pool+"/maintenance", nil, &s)
+}
+
+// Status returns the overview of the fleet.
+func (c *Client) Status(ctx context.Context) (bwcontroller.Status, error) {
+	var s bwcontroller.Status
+	return s, c.call(ctx, http.MethodGet, "/v1/status", nil, &s)
+}
+
+// Accounts searches for accounts by requestId, idempotencyKey, or caller and since.
+func (c *Client) Accounts(ctx context.Context, query url.Values) (bwcontroller.AccountList, error) {
+	var list bwcontroller.AccountList
+	return list, c.call(ctx, http.MethodGet, "/v1/accounts?"+query.Encode(), nil, &list)
+}
+
+// WaitApplied waits until every registered entry works by the revision.
+func (c *Client) WaitApplied(ctx context.Context, revision int64) error {
+	for {
+		var a bwcontroller.Applied
+		err := c.call(ctx, http.MethodGet, "/v1/applied?revision="+strconv.FormatInt(revision, 10), nil, &a)
+		if err == nil && a.InForce {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return oops.In("bwadmin").Errorf("revision %d is accepted and not yet in force at every entry", revision)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+// Dump returns the state dump of the process whose operations address is given.
+func Dump(ctx context.Context, address string) ([]byte, error) {
+	c := New("http://" + address)
+	var raw json.RawMessage
+	if err := c.call(ctx, http.MethodGet, "/debug/state", nil, &raw); err != nil {
+		return nil, err
+	}
+	var indented bytes.Buffer
+	err := json.Indent(&indented, raw, "", "  ")
+	return indented.Bytes(), oops.In("bwadmin").Wrap(err)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return oops.In("bwadmin").Wrap(err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return oops.In("bwadmin").Wrapf(err, "controller %s", c.base)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return oops.In("bwadmin").Wrap(err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return oops.In("bwadmin").Wrap(json.Unmarshal(data, reply))
+	}
+	f := new(FailureError)
+	if json.Unmarshal(data, &f.failure) != nil || f.failure.Code == "" {
+		return oops.In("bwadmin").Errorf("controller %s: status %d", c.base, resp.StatusCode)
+	}
+	return f
+}
--- /dev/null
+++ b/bwadmin/document.go
@@ -0,0 +1,58 @@
+package bwadmin
+
+import (
+	"encoding/json"
+
+	"github.com/samber/oops"
+	"sigs.k8s.io/yaml"
+)
+
+// Document is the file that basilwood apply reads, as YAML or JSON. Each element is one
+// value in the form of the administration API.
+type Document struct {
+	Teams    []json.RawMessage `json:"teams"`
+	Pools    []json.RawMessage `json:"pools"`
+	Profiles []json.RawMessage `json:"profiles"`
+	Hosts    []json.RawMessage `json:"hosts"`
+}
+
+// Element is one value of a document.
+type Element struct {
+	kind  string
+	name  string
+	value []byte
+}
+
+// Kind returns profiles, teams, pools or hosts.
+func (e Element) Kind() string { return e.kind }
+
+// Name returns the name of the value.
+func (e Element) Name() string { return e.name }
+
+// Value returns the value as JSON.
+func (e Element) Value() []byte { return e.value }
+
+// ParseDocument reads a document and returns its elements in an order in which each one
+// only refers to earlier ones.
+func ParseDocument(content []byte) ([]Element, error) {
+	var d Document
+	if err := yaml.UnmarshalStrict(content, &d); err != nil {
+		return nil, oops.In("bwadmin").Wrapf(err, "read document")
+	}
+	var elements []Element
+	for _, part := range []struct {
+		kind   string
+		values []json.RawMessage
+	}{{"teams", d.Teams}, {"pools", d.Pools}, {"hosts", d.Hosts}, {"profiles", d.Profiles}} {
+		for i, value := range part.values {
+			var named struct {
+				Name string `json:"name"`
+			}
+			if err := json.Unmarshal(value, &named); err != nil || named.Name == "" {
+				return nil, oops.In("bwadmin").Errorf("%s, element %d: has no name", part.kind, i+1)
+			}
+			elements = append(elements, Element{kind: part.kind, name: named.Name, value: value})
+		}
+	}
+	return elements, nil
+}
--- /dev/null
+++ b/bwcontroller/maintenance.go
@@ -0,0 +1,154 @@
+package bwcontroller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwpool"
+	"basilwood.example/basilwood/bwstore"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"google.golang.org/protobuf/proto"
+)
+
+// MoveRequest asks for a move of a host to another pool.
+type MoveRequest struct {
+	ToPool string `json:"toPool"`
+}
+
+// moveHost grants a permit for a move; the controller of the pool carries it out.
+func (c *Controller) moveHost(r *http.Request) outcome {
+	name := mux.Vars(r)["name"]
+	var m MoveRequest
+	input, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxInputBytes))
+	if err == nil {
+		err = json.Unmarshal(input, &m)
+	}
+	if err != nil {
+		return failed(http.StatusBadRequest, "invalid", "the body is not a move: "+err.Error())
+	}
+	v := c.replica.Version()
+	h := v.Host(name)
+	switch {
+	case h == nil:
+		return failed(http.StatusNotFound, "notFound", "no such host: "+name)
+	case v.Pool(m.ToPool) == nil:
+		return failed(http.StatusUnprocessableEntity, "invalid", "no such pool: "+m.ToPool)
+	case h.GetPool() == m.ToPool:
+		return failed(http.StatusConflict, "refused", "the host belongs to that pool already")
+	case !c.isListFresh():
+		return failed(http.StatusServiceUnavailable, "unavailable", "the platform's host list is too old to grant a permit by")
+	}
+	return c.updatePool(r, h.GetPool(), func(p *bwpool.Pool) outcome {
+		refusal := bwpool.Check(p, c.hostViews(c.replica.Version(), p.GetName()), name)
+		if refusal != bwpool.Allowed {
+			return failed(http.StatusConflict, "refused", refusal.String())
+		}
+		permit := &bwpool.Permit{Id: uuid.NewString(), Host: name, Kind: bwpool.PermitKind_move, ToPool: m.ToPool}
+		p.AddPermit(permit, c.clock.Now())
+		return outcome{}
+	})
+}
+
+// updatePool changes a stored pool by compare-and-swap.
+func (c *Controller) updatePool(r *http.Request, name string, change func(*bwpool.Pool) outcome) outcome {
+	return c.update(r, bwconfig.PoolKey(name), func(old bwstore.Entry) (proto.Message, outcome) {
+		if old.IsDeleted() {
+			return nil, failed(http.StatusNotFound, "notFound", "no such pool: "+name)
+		}
+		p := new(bwpool.Pool)
+		if err := bwcodec.Unmarshal(old.Value(), p); err != nil {
+			return nil, failed(http.StatusInternalServerError, "invalid", err.Error())
+		}
+		return p, change(p)
+	})
+}
+
+// changeWave starts, pauses, resumes or cancels the maintenance wave of a pool. Permits
+// that were granted are carried to their end in every case.
+func (c *Controller) changeWave(r *http.Request) outcome {
+	action := mux.Vars(r)["action"]
+	return c.updatePool(r, mux.Vars(r)["name"], func(p *bwpool.Pool) outcome {
+		state := p.GetWave().GetState()
+		isOpen := state == bwpool.WaveState_running || state == bwpool.WaveState_paused
+		switch {
+		case action == "start" && !isOpen:
+			p.Wave = &bwpool.Wave{
+				Id:            uuid.NewString(),
+				State:         bwpool.WaveState_running,
+				StartedMillis: c.clock.Now().Millis(),
+			}
+		case action == "pause" && state == bwpool.WaveState_running:
+			p.Wave.State = bwpool.WaveState_paused
+		case action == "resume" && state == bwpool.WaveState_paused:
+			p.Wave.State = bwpool.WaveState_running
+		case action == "cancel" && isOpen:
+			p.Wave.State = bwpool.WaveState_cancelled
+			p.Wave.EndedMillis = c.clock.Now().Millis()
+		default:
+			return failed(http.StatusConflict, "refused", "the wave is "+state.String())
+		}
+		return outcome{}
+	})
+}
+
+// MaintenanceStatus is the JSON progress of a pool's maintenance.
+type MaintenanceStatus struct {
+	Pool    string         `json:"pool"`
+	Wave    string         `json:"wave"`
+	State   string         `json:"state"`
+	Hosts   int            `json:"hosts"`
+	Done    int            `json:"done"`
+	Permits []PermitStatus `json:"permits"`
+}
+
+// PermitStatus is the JSON progress of one host.
+type PermitStatus struct {
+	Host string `json:"host"`
+	Kind string `json:"kind"`
+	Step string `json:"step"`
+	// WaitsFor names what keeps the host at its step.
+	WaitsFor string `json:"waitsFor,omitempty"`
+	// StepMillis is the moment at which the step was reached, since the Unix epoch.
+	StepMillis int64  `json:"stepMillis"`
+	ToPool     string `json:"toPool,omitempty"`
+}
+
+func (c *Controller) maintenanceStatus(r *http.Request) outcome {
+	name := mux.Vars(r)["name"]
+	p, _, err := c.readPool(r.Context(), name)
+	if err != nil {
+		return unavailable(err)
+	}
+	if p == nil {
+		return failed(http.StatusNotFound, "notFound", "no such pool: "+name)
+	}
+	return done(c.describe(p))
+}
+
+func (c *Controller) describe(p *bwpool.Pool) MaintenanceStatus {
+	s := MaintenanceStatus{
+		Pool:    p.GetName(),
+		Wave:    p.GetWave().GetId(),
+		State:   p.GetWave().GetState().String(),
+		Hosts:   len(c.replica.Version().PoolHosts(p.GetName())),
+		Done:    len(p.GetWave().GetDone()),
+		Permits: []PermitStatus{},
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, permit := range p.GetPermits() {
+		s.Permits = append(s.Permits, PermitStatus{
+			Host:       permit.GetHost(),
+			Kind:       permit.GetKind().String(),
+			Step:       permit.GetStep().String(),
+			WaitsFor:   c.problems[permit.GetId()],
+			StepMillis: permit.GetStepMillis(),
+			ToPool:     permit.GetToPool(),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/bwload/check.go
@@ -0,0 +1,174 @@
+package bwload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwentry"
+	"basilwood.example/basilwood/bwstandin"
+)
+
+const checkWorkers = 32
+
+// Finding is the result of a check.
+type Finding struct {
+	replies       int
+	accounts      int
+	executions    int
+	unknown       int
+	disagreements []string
+}
+
+// Disagreements returns every contradiction, in plain words.
+func (f *Finding) Disagreements() []string { return f.disagreements }
+
+// String sums the check up.
+func (f *Finding) String() string {
+	return fmt.Sprintf("checked %d replies, %d accounts and %d executions: %d unknown, %d disagreements",
+		f.replies, f.accounts, f.executions, f.unknown, len(f.disagreements))
+}
+
+func (f *Finding) disagree(format string, args ...any) {
+	f.disagreements = append(f.disagreements, fmt.Sprintf(format, args...))
+}
+
+// Executions reads what each target counted.
+func Executions(ctx context.Context, targets []string) ([]bwstandin.Execution, error) {
+	var all []bwstandin.Execution
+	for _, t := range targets {
+		var part []bwstandin.Execution
+		if err := get(ctx, "http://"+t+"/executions", &part); err != nil {
+			return nil, fmt.Errorf("target %s: %w", t, err)
+		}
+		all = append(all, part...)
+	}
+	return all, nil
+}
+
+func get(ctx context.Context, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// Check compares replies, accounts and executions.
+func Check(ctx context.Context, entries []string, replies []Reply, executions []bwstandin.Execution) *Finding {
+	f := &Finding{replies: len(replies), executions: len(executions)}
+	byRequest := make(map[string]int)
+	for _, e := range executions {
+		byRequest[e.RequestID]++
+	}
+	f.checkReplies(replies, byRequest)
+	f.checkKeys(replies, byRequest)
+	accounts := readAccounts(ctx, entries, replies)
+	f.accounts = len(accounts)
+	f.checkAccounts(replies, accounts, byRequest)
+	return f
+}
+
+// checkReplies compares each reply with the executions.
+func (f *Finding) checkReplies(replies []Reply, byRequest map[string]int) {
+	for _, r := range replies {
+		ran := byRequest[r.requestID]
+		switch {
+		case r.outcome == "notRun" && ran > 0:
+			f.disagree("%s: told notRun, executed %d times", r.requestID, ran)
+		case r.outcome == "ran" && !r.replayed && ran == 0:
+			f.disagree("%s: told ran, never executed", r.requestID)
+		case r.outcome == "ran" && !r.isWhole:
+			f.disagree("%s: the answer is not whole or not its own", r.requestID)
+		case r.outcome == "unknown":
+			f.unknown++
+		}
+	}
+}
+
+// checkKeys counts the executions of each idempotency key.
+func (f *Finding) checkKeys(replies []Reply, byRequest map[string]int) {
+	byKey := make(map[string]int)
+	for _, r := range replies {
+		if r.key != "" {
+			byKey[r.key] += byRequest[r.requestID]
+		}
+	}
+	for key, n := range byKey {
+		if n > 1 {
+			f.disagree("key %s: executed %d times", key, n)
+		}
+	}
+}
+
+// checkAccounts compares each account with the reply and the executions.
+func (f *Finding) checkAccounts(replies []Reply, accounts map[string]*bwaccount.Account, byRequest map[string]int) {
+	for _, r := range replies {
+		if r.requestID == "" {
+			continue
+		}
+		a := accounts[r.requestID]
+		if a == nil {
+			if r.status != http.StatusBadRequest && r.status != http.StatusNotFound {
+				f.disagree("%s: no account", r.requestID)
+			}
+			continue
+		}
+		if a.GetFinal() && a.GetOutcome().String() != r.outcome {
+			f.disagree("%s: told %s, account says %s", r.requestID, r.outcome, a.GetOutcome())
+		}
+		if a.GetFinal() && a.GetOutcome().String() == "notRun" && byRequest[r.requestID] > 0 {
+			f.disagree("%s: account says notRun, executed", r.requestID)
+		}
+	}
+}
+
+// readAccounts asks the entries in turn for the account of each reply.
+func readAccounts(ctx context.Context, entries []string, replies []Reply) map[string]*bwaccount.Account {
+	accounts := make(map[string]*bwaccount.Account)
+	work := make(chan Reply)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for i := range checkWorkers {
+		entry := entries[i%len(entries)]
+		group.Go(func() {
+			for r := range work {
+				a := readAccount(ctx, entry, r.requestID)
+				mu.Lock()
+				if a != nil {
+					accounts[r.requestID] = a
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, r := range replies {
+		if r.requestID != "" {
+			work <- r
+		}
+	}
+	close(work)
+	group.Wait()
+	return accounts
+}
+
+func readAccount(ctx context.Context, entry, id string) *bwaccount.Account {
+	var list bwentry.AccountList
+	if err := get(ctx, "http://"+entry+"/v1/requests/"+id, &list); err != nil || len(list.Accounts) != 1 {
+		return nil
+	}
+	a := new(bwaccount.Account)
+	if bwcodec.Unmarshal(list.Accounts[0], a) != nil {
+		return nil
+	}
+	return a
+}
--- /dev/null
+++ b/bwload/report.go
@@ -0,0 +1,104 @@
+package bwload
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"basilwood.example/basilwood/bwreport"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramMax    = int64(time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// ProfileReport sums up the replies of one profile.
+type ProfileReport struct {
+	profile   string
+	sent      int
+	ran       int
+	onTime    int
+	notRun    int
+	unknown   int
+	failed    int
+	histogram *hdrhistogram.Histogram
+}
+
+// Profile returns the name of the profile.
+func (p *ProfileReport) Profile() string { return p.profile }
+
+// Sent returns the number of requests.
+func (p *ProfileReport) Sent() int { return p.sent }
+
+// OnTime returns the number of requests that ran within their deadline.
+func (p *ProfileReport) OnTime() int { return p.onTime }
+
+// NotRun returns the number of requests that were refused.
+func (p *ProfileReport) NotRun() int { return p.notRun }
+
+// Unknown returns the number of requests whose outcome is unknown.
+func (p *ProfileReport) Unknown() int { return p.unknown }
+
+// Failed returns the number of requests without a reply.
+func (p *ProfileReport) Failed() int { return p.failed }
+
+// Ran returns the number of requests that ran.
+func (p *ProfileReport) Ran() int { return p.ran }
+
+// Latency returns a quantile, 0 to 100, of the requests that ran.
+func (p *ProfileReport) Latency(quantile float64) time.Duration {
+	return time.Duration(p.histogram.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// Reports sums up replies by profile, in name order.
+func Reports(replies []Reply) []*ProfileReport {
+	byName := make(map[string]*ProfileReport)
+	for _, r := range replies {
+		p := byName[r.profile]
+		if p == nil {
+			p = &ProfileReport{profile: r.profile, histogram: hdrhistogram.New(1, histogramMax, histogramDigits)}
+			byName[r.profile] = p
+		}
+		p.add(r)
+	}
+	list := make([]*ProfileReport, 0, len(byName))
+	for _, p := range byName {
+		list = append(list, p)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].profile < list[j].profile })
+	return list
+}
+
+func (p *ProfileReport) add(r Reply) {
+	p.sent++
+	switch r.outcome {
+	case "ran":
+		p.ran++
+		if !r.late {
+			p.onTime++
+		}
+		// Values beyond the range count as the largest one.
+		_ = p.histogram.RecordValue(min(r.latency.Microseconds(), histogramMax))
+	case "notRun":
+		p.notRun++
+	case "unknown":
+		p.unknown++
+	default:
+		p.failed++
+	}
+}
+
+// Table returns the reports as text.
+func Table(reports []*ProfileReport) string {
+	rows := [][]string{{"PROFILE", "SENT", "RAN", "ON TIME", "NOT RUN", "UNKNOWN", "NO REPLY", "P50 MS", "P99 MS", "MAX MS"}}
+	for _, p := range reports {
+		rows = append(rows, []string{
+			p.profile, fmt.Sprint(p.sent), fmt.Sprint(p.ran), fmt.Sprint(p.onTime), fmt.Sprint(p.notRun),
+			fmt.Sprint(p.unknown), fmt.Sprint(p.failed),
+			format(p.Latency(50)), format(p.Latency(99)), format(p.Latency(100)),
+		})
+	}
+	return bwreport.Table(rows)
+}
--- /dev/null
+++ b/cmd/basilwood-controller/main.go
@@ -0,0 +1,99 @@
+// Command basilwood-controller serves the administration API and moves and maintains
+// hosts.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"basilwood.example/basilwood/bwcontroller"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwprofile"
+	"basilwood.example/basilwood/bwsettings"
+	"basilwood.example/basilwood/bwstore"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// The store writes per second that one controller may use.
+const (
+	maintenanceWrites  = 30
+	maintenanceBurst   = 20
+	configurationWrite = 20
+	configurationBurst = 20
+)
+
+type settings struct {
+	id             string
+	dataCentre     string
+	administration string
+	operations     string
+	store          string
+	platform       string
+	allowPlaintext bool
+	checkOnly      bool
+	log            bwsettings.Log
+}
+
+func main() {
+	var s settings
+	app := s.commandLine()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	s.check()
+	if s.checkOnly {
+		fmt.Println("settings are valid")
+		return
+	}
+	if err := s.run(); err != nil {
+		fmt.Fprintln(os.Stderr, "basilwood-controller:", err)
+		os.Exit(1)
+	}
+}
+
+func (s *settings) commandLine() *kingpin.Application {
+	app := kingpin.New("basilwood-controller", "Serves the administration API and moves and maintains hosts.")
+	app.Flag("id", "Name of this controller, unique among the controllers.").Envar("BASILWOOD_ID").StringVar(&s.id)
+	app.Flag("data-centre", "Data centre of this controller.").Envar("BASILWOOD_DATA_CENTRE").StringVar(&s.dataCentre)
+	app.Flag("administration-address", "IP number and port of the administration API.").
+		Envar("BASILWOOD_ADMINISTRATION_ADDRESS").Default("127.0.0.1:7400").StringVar(&s.administration)
+	app.Flag("operations-address", "IP number and port for metrics, health and the state dump.").
+		Envar("BASILWOOD_OPERATIONS_ADDRESS").Default("127.0.0.1:7500").StringVar(&s.operations)
+	app.Flag("store", "URL of the platform's key-value service.").
+		Envar("BASILWOOD_STORE").Default("http://127.0.0.1:7001").StringVar(&s.store)
+	app.Flag("platform", "URL of the platform.").
+		Envar("BASILWOOD_PLATFORM").Default("http://127.0.0.1:7002").StringVar(&s.platform)
+	app.Flag("allow-plaintext", "Allow addresses off loopback without encryption.").
+		Envar("BASILWOOD_ALLOW_PLAINTEXT").BoolVar(&s.allowPlaintext)
+	app.Flag("check-settings", "Check the settings and exit.").BoolVar(&s.checkOnly)
+	s.log.Register(app)
+	return app
+}
+
+// check ends the program when a setting is faulty.
+func (s *settings) check() {
+	var p bwsettings.Problems
+	p.Check(bwprofile.IsName(s.id), "--id %q: use lower-case letters, digits and hyphens", s.id)
+	p.Check(bwprofile.IsName(s.dataCentre), "--data-centre %q: use lower-case letters, digits and hyphens", s.dataCentre)
+	p.CheckAddress("administration-address", s.administration, s.allowPlaintext)
+	p.CheckAddress("operations-address", s.operations, s.allowPlaintext)
+	p.CheckURL("store", s.store)
+	p.CheckURL("platform", s.platform)
+	p.Exit(os.Stderr)
+}
+
+func (s *settings) run() error {
+	listeners, err := bwsettings.ListenAll(s.administration, s.operations)
+	if err != nil {
+		return err
+	}
+	store := bwstore.New(s.store,
+		bwstore.WithWriteLimit(bwstore.ClassMaintenance, maintenanceWrites, maintenanceBurst),
+		bwstore.WithWriteLimit(bwstore.ClassConfiguration, configurationWrite, configurationBurst))
+	defer store.Close()
+	platform := bwplatform.New(s.platform)
+	defer platform.Close()
+	id := bwcontroller.Identity{ID: s.id, DataCentre: s.dataCentre, Address: s.administration}
+	c := bwcontroller.New(id, store, platform, bwcontroller.WithLog(s.log.Open("controller")))
+	ctx, cancel := bwsettings.SignalContext()
+	defer cancel()
+	return c.Run(ctx, bwcontroller.Listeners{Administration: listeners[0], Operations: listeners[1]})
+}
--- /dev/null
+++ b/cmd/basilwood-entry/main.go
@@ -0,0 +1,142 @@
+// Command basilwood-entry serves callers' requests on one entry host.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"basilwood.example/basilwood/bwentry"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwprofile"
+	"basilwood.example/basilwood/bwqueue"
+	"basilwood.example/basilwood/bwsettings"
+	"basilwood.example/basilwood/bwstore"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// The store writes per second that one entry may use besides claims.
+const (
+	accountWrites = 2
+	accountBurst  = 4
+	claimBurst    = 4
+)
+
+type settings struct {
+	id             string
+	dataCentre     string
+	callers        string
+	peers          string
+	operations     string
+	store          string
+	platform       string
+	seeds          []string
+	queuePolicy    string
+	claimWrites    float64
+	stopTimeout    time.Duration
+	allowPlaintext bool
+	checkOnly      bool
+	log            bwsettings.Log
+}
+
+func main() {
+	var s settings
+	app := s.commandLine()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	policy := s.check()
+	if s.checkOnly {
+		fmt.Println("settings are valid")
+		return
+	}
+	if err := s.run(policy); err != nil {
+		fmt.Fprintln(os.Stderr, "basilwood-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func (s *settings) commandLine() *kingpin.Application {
+	app := kingpin.New("basilwood-entry", "Serves callers' requests on one entry host. SIGTERM stops it without cutting a request.")
+	flag := func(name, help string) *kingpin.FlagClause {
+		return app.Flag(name, help).Envar(envar(name))
+	}
+	flag("id", "Name of this entry, unique among the entries.").StringVar(&s.id)
+	flag("data-centre", "Data centre of this entry.").StringVar(&s.dataCentre)
+	flag("callers-address", "IP number and port for callers' HTTP.").Default("127.0.0.1:7100").StringVar(&s.callers)
+	flag("peer-address", "IP number and port for other entries and controllers.").Default("127.0.0.1:7200").StringVar(&s.peers)
+	flag("operations-address", "IP number and port for metrics, health and the state dump.").Default("127.0.0.1:7300").StringVar(&s.operations)
+	flag("store", "URL of the platform's key-value service.").Default("http://127.0.0.1:7001").StringVar(&s.store)
+	flag("platform", "URL of the platform.").Default("http://127.0.0.1:7002").StringVar(&s.platform)
+	flag("seed", "Peer address to load the configuration from while the store is down; repeatable.").StringsVar(&s.seeds)
+	flag("queue-policy", "Order of requests: shares, or fifo and priority as baselines.").Default("shares").StringVar(&s.queuePolicy)
+	flag("claim-writes", "Store writes per second that all entries together may use for claims.").Default("120").Float64Var(&s.claimWrites)
+	flag("stop-timeout", "Longest duration of a planned stop.").Default("30s").DurationVar(&s.stopTimeout)
+	flag("allow-plaintext", "Allow addresses off loopback without encryption.").BoolVar(&s.allowPlaintext)
+	app.Flag("check-settings", "Check the settings and exit.").BoolVar(&s.checkOnly)
+	s.log.Register(app)
+	return app
+}
+
+func envar(flag string) string {
+	name := []byte("BASILWOOD_" + flag)
+	for i, b := range name {
+		switch {
+		case b == '-':
+			name[i] = '_'
+		case b >= 'a' && b <= 'z':
+			name[i] = b - 'a' + 'A'
+		}
+	}
+	return string(name)
+}
+
+// check ends the program when a setting is faulty.
+func (s *settings) check() bwqueue.Policy {
+	var p bwsettings.Problems
+	p.Check(bwprofile.IsName(s.id), "--id %q: use lower-case letters, digits and hyphens", s.id)
+	p.Check(bwprofile.IsName(s.dataCentre), "--data-centre %q: use lower-case letters, digits and hyphens", s.dataCentre)
+	p.CheckAddress("callers-address", s.callers, s.allowPlaintext)
+	p.CheckAddress("peer-address", s.peers, s.allowPlaintext)
+	p.CheckAddress("operations-address", s.operations, s.allowPlaintext)
+	for _, seed := range s.seeds {
+		p.CheckAddress("seed", seed, s.allowPlaintext)
+	}
+	p.CheckURL("store", s.store)
+	p.CheckURL("platform", s.platform)
+	p.Check(s.claimWrites > 0, "--claim-writes %g: must be positive", s.claimWrites)
+	p.Check(s.stopTimeout > 0, "--stop-timeout %s: must be positive", s.stopTimeout)
+	policy, ok := bwqueue.ParsePolicy(s.queuePolicy)
+	p.Check(ok, "--queue-policy %q: must be shares, fifo or priority", s.queuePolicy)
+	p.Exit(os.Stderr)
+	return policy
+}
+
+func (s *settings) run(policy bwqueue.Policy) error {
+	listeners, err := bwsettings.ListenAll(s.callers, s.peers, s.operations)
+	if err != nil {
+		return err
+	}
+	log := s.log.Open("entry")
+	store := bwstore.New(s.store,
+		bwstore.WithWriteLimit(bwstore.ClassClaims, s.claimWrites, claimBurst),
+		bwstore.WithWriteLimit(bwstore.ClassAccounts, accountWrites, accountBurst))
+	defer store.Close()
+	platform := bwplatform.New(s.platform)
+	defer platform.Close()
+	id := bwentry.Identity{ID: s.id, DataCentre: s.dataCentre, PeerAddress: s.peers}
+	e := bwentry.New(id, store, platform,
+		bwentry.WithLog(log),
+		bwentry.WithSeeds(s.seeds),
+		bwentry.WithQueuePolicy(policy),
+		bwentry.WithClaimWrites(s.claimWrites),
+		bwentry.WithStopTimeout(s.stopTimeout))
+	ctx, cancel := bwsettings.SignalContext()
+	defer cancel()
+	isClean, err := e.Run(ctx, bwentry.Listeners{Callers: listeners[0], Peers: listeners[1], Operations: listeners[2]})
+	if err != nil {
+		return err
+	}
+	if !isClean {
+		return fmt.Errorf("requests were still running after the stop timeout of %s", s.stopTimeout)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/basilwood-load/main.go
@@ -0,0 +1,91 @@
+// Command basilwood-load offers load to entries, reports on each profile and checks
+// replies, accounts and executions against each other.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"basilwood.example/basilwood/bwload"
+	"basilwood.example/basilwood/bwsettings"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+type settings struct {
+	entries  []string
+	live     []string
+	targets  []string
+	works    []string
+	duration time.Duration
+	settle   time.Duration
+	seed     uint64
+	plot     string
+}
+
+func main() {
+	var s settings
+	app := kingpin.New("basilwood-load", "Offers open-loop load to entries and checks what they said about it.")
+	app.Flag("entry", "Callers' address of an entry; repeatable.").Required().StringsVar(&s.entries)
+	app.Flag("live-entry", "Address of an entry that still runs after the load, for the check; repeatable; default all.").StringsVar(&s.live)
+	app.Flag("target", "Address of a stand-in target whose executions are checked; repeatable.").StringsVar(&s.targets)
+	app.Flag("work", "Stream of requests: profile=P,service=S,rate=R[,callers=N][,timeout=D][,keyed=true][,repeat=X][,from=D][,for=D]; repeatable.").
+		Required().StringsVar(&s.works)
+	app.Flag("duration", "Duration of the load.").Default("10s").DurationVar(&s.duration)
+	app.Flag("settle", "Time between the load and the check.").Default("2s").DurationVar(&s.settle)
+	app.Flag("seed", "Seed of random choices.").Default("1").Uint64Var(&s.seed)
+	app.Flag("plot", "PNG file for a plot of the latencies.").StringVar(&s.plot)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	var problems bwsettings.Problems
+	var works []bwload.Work
+	for _, text := range s.works {
+		w, err := bwload.ParseWork(text)
+		problems.Check(err == nil, "--work: %v", err)
+		works = append(works, w)
+	}
+	problems.Exit(os.Stderr)
+	if err := s.run(works); err != nil {
+		fmt.Fprintln(os.Stderr, "basilwood-load:", err)
+		os.Exit(1)
+	}
+}
+
+func (s *settings) run(works []bwload.Work) error {
+	ctx, cancel := bwsettings.SignalContext()
+	defer cancel()
+	caller := fmt.Sprintf("load-%d-%d", s.seed, time.Now().UnixMilli())
+	replies := bwload.NewRunner(s.entries, works, s.seed, caller).Run(ctx, s.duration)
+	reports := bwload.Reports(replies)
+	fmt.Print(bwload.Table(reports))
+	if s.plot != "" {
+		if err := bwload.Plot(reports, s.plot); err != nil {
+			return err
+		}
+	}
+	if len(s.targets) == 0 {
+		return nil
+	}
+	time.Sleep(s.settle)
+	return s.check(ctx, replies)
+}
+
+func (s *settings) check(ctx context.Context, replies []bwload.Reply) error {
+	executions, err := bwload.Executions(ctx, s.targets)
+	if err != nil {
+		return err
+	}
+	live := s.live
+	if len(live) == 0 {
+		live = s.entries
+	}
+	finding := bwload.Check(ctx, live, replies, executions)
+	fmt.Println(finding)
+	for _, d := range finding.Disagreements() {
+		fmt.Println("DISAGREEMENT:", d)
+	}
+	if n := len(finding.Disagreements()); n > 0 {
+		return fmt.Errorf("%d disagreements", n)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/basilwood-standin/main.go
@@ -0,0 +1,104 @@
+// Command basilwood-standin runs a stand-in of the key-value store, of targets or of
+// the platform, for tests and for the local run.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"basilwood.example/basilwood/bwsettings"
+	"basilwood.example/basilwood/bwstandin"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const headerTimeout = 5 * time.Second
+
+type settings struct {
+	address string
+	hosts   map[string]string
+	slots   int
+	mean    time.Duration
+	lag     time.Duration
+	reboot  time.Duration
+	seed    uint64
+}
+
+func main() {
+	s := settings{hosts: make(map[string]string)}
+	app := kingpin.New("basilwood-standin", "Runs a stand-in of an outside system. PUT /faults sets its fault switches.")
+	app.Flag("seed", "Seed of random choices.").Envar("BASILWOOD_SEED").Default("1").Uint64Var(&s.seed)
+	store := app.Command("store", "The platform's key-value service.")
+	store.Flag("address", "IP number and port.").Default("127.0.0.1:7001").StringVar(&s.address)
+	targets := app.Command("target", "Targets, each at its own address.")
+	targets.Flag("host", "NAME=ADDRESS of a target; repeatable.").Required().StringMapVar(&s.hosts)
+	targets.Flag("slots", "Requests that a target runs at once.").Default("8").IntVar(&s.slots)
+	targets.Flag("mean", "Mean service time.").Default("20ms").DurationVar(&s.mean)
+	platform := app.Command("platform", "The platform that drains, stops, starts and reboots targets.")
+	platform.Flag("address", "IP number and port.").Default("127.0.0.1:7002").StringVar(&s.address)
+	platform.Flag("host", "NAME=ADDRESS of a target; repeatable.").Required().StringMapVar(&s.hosts)
+	platform.Flag("lag", "Age that the host list may have.").Default("1s").DurationVar(&s.lag)
+	platform.Flag("reboot", "Duration of a reboot.").Default("1s").DurationVar(&s.reboot)
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := s.run(command); err != nil {
+		fmt.Fprintln(os.Stderr, "basilwood-standin:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves the handlers of the command until SIGTERM.
+func (s *settings) run(command string) error {
+	handlers := make(map[string]http.Handler)
+	switch command {
+	case "store":
+		handlers[s.address] = bwstandin.NewStore(s.seed).Handler()
+	case "target":
+		for i, name := range s.names() {
+			handlers[s.hosts[name]] = bwstandin.NewTarget(name, s.slots, s.mean, s.seed+uint64(i)).Handler()
+		}
+	case "platform":
+		var executors []bwstandin.Executor
+		for _, name := range s.names() {
+			executors = append(executors, bwstandin.NewRemoteTarget(name, s.hosts[name]))
+		}
+		handlers[s.address] = bwstandin.NewPlatform(executors, s.lag, s.reboot, s.seed).Handler()
+	}
+	return serve(handlers)
+}
+
+func (s *settings) names() []string {
+	var names []string
+	for name := range s.hosts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func serve(handlers map[string]http.Handler) error {
+	ctx, cancel := bwsettings.SignalContext()
+	defer cancel()
+	var group sync.WaitGroup
+	var servers []*http.Server
+	for address, handler := range handlers {
+		l, err := bwsettings.Listen(address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, server)
+		group.Go(func() {
+			// Serve only returns after Close, and its error then says so.
+			_ = server.Serve(l)
+		})
+	}
+	<-ctx.Done()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	group.Wait()
+	return nil
+}
--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,80 @@
+# Functions for a local fleet on loopback. Sourced by run.sh and by experiments.
+# Ports: 7001 store, 7002 platform, 7101-7103 callers, 7201-7203 entries' peers,
+# 7301-7303 entries' operations, 7401-7403 administration, 7501-7503 controllers'
+# operations, 7800-7823 targets.
+BIN=${BIN:-bin}
+RUN=${RUN:-run}
+PIDS=()
+mkdir -p "$RUN"
+
+# start NAME COMMAND... runs a program in the background and keeps its process id.
+start() {
+  local name=$1
+  shift
+  "$@" >"$RUN/$name.log" 2>&1 &
+  PIDS+=($!)
+  eval "PID_${name//-/_}=$!"
+}
+
+# stop_all ends every process that was started here, by id.
+stop_all() {
+  local pid
+  for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null || true; done
+  PIDS=()
+}
+
+# await URL waits until the URL answers with success.
+await() {
+  local i
+  for i in $(seq 200); do
+    curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
+    sleep 0.05
+  done
+  echo "no answer from $1; see $RUN/*.log" >&2
+  return 1
+}
+
+# target_flags prints --host flags for every host of the example fleet.
+target_flags() {
+  sed -n "s/.*{name: \([a-z0-9-]*\), pool.*address: '\([0-9.:]*\)'.*/--host \1=\2/p" examples/fleet.yaml
+}
+
+# target_addresses prints the address of every host of the example fleet.
+target_addresses() {
+  sed -n "s/.*address: '\([0-9.:]*\)'.*/\1/p" examples/fleet.yaml
+}
+
+start_entry() {
+  local i=$1
+  shift
+  start "entry-$i" "$BIN/basilwood-entry" --id "entry-$i" --data-centre "dc$i" \
+    --callers-address "127.0.0.1:710$i" --peer-address "127.0.0.1:720$i" \
+    --operations-address "127.0.0.1:730$i" \
+    --seed 127.0.0.1:7201 --seed 127.0.0.1:7202 --seed 127.0.0.1:7203 "$@"
+}
+
+start_controller() {
+  local i=$1
+  start "controller-$i" "$BIN/basilwood-controller" --id "controller-$i" --data-centre "dc$i" \
+    --administration-address "127.0.0.1:740$i" --operations-address "127.0.0.1:750$i"
+}
+
+# start_fleet starts the stand-ins, 3 entries and 3 controllers and applies the example.
+start_fleet() {
+  local i
+  start store "$BIN/basilwood-standin" store
+  start targets "$BIN/basilwood-standin" target $(target_flags)
+  start platform "$BIN/basilwood-standin" platform $(target_flags)
+  await http://127.0.0.1:7001/stats
+  await http://127.0.0.1:7002/v1/hosts
+  for i in 1 2 3; do
+    start_entry "$i" "$@"
+    start_controller "$i"
+  done
+  for i in 1 2 3; do
+    await "http://127.0.0.1:730$i/readyz"
+    await "http://127.0.0.1:750$i/readyz"
+  done
+  "$BIN/basilwood" --controller http://127.0.0.1:7401 apply -f examples/fleet.yaml --wait >"$RUN/apply.log"
+}
