bwclaim, bwproof: claim log machine and whole fleets in simulated time

TestClaimMachine drives three owners of one shard with stale states, delayed writes, releases, restarts and time beyond the window against an oracle of holders.

--- /dev/null
+++ b/bwclaim/shard_test.go
@@ -0,0 +1,215 @@
+package bwclaim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilwood.example/basilwood/bwclaim"
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwoutcome"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const testWindow = 10 * time.Second
+
+// slotStore is the oracle of the store: one value and revision for each slot.
+type slotStore struct {
+	slots    map[string]bwclaim.StoredBatch
+	revs     map[string]int64
+	revision int64
+}
+
+func (s *slotStore) swap(key string, b *bwclaim.Batch, expected int64) (int64, bool) {
+	if s.revs[key] != expected {
+		return 0, false
+	}
+	s.revision++
+	s.revs[key] = s.revision
+	s.slots[key] = bwclaim.NewStoredBatch(proto.CloneOf(b), s.revision)
+	return s.revision, true
+}
+
+func (s *slotStore) read() *bwclaim.Shard {
+	var stored []bwclaim.StoredBatch
+	for _, b := range s.slots {
+		stored = append(stored, b)
+	}
+	return bwclaim.Replay(stored)
+}
+
+// pendingWrite is a batch that an owner has composed and not sent yet, as after a pause.
+type pendingWrite struct {
+	owner    int
+	batch    *bwclaim.Batch
+	expected int64
+	grants   []*bwclaim.Record
+}
+
+// claimMachine drives several owners of one shard, each with its own, perhaps stale,
+// state. The oracle knows who holds each key.
+type claimMachine struct {
+	store   slotStore
+	owners  []*bwclaim.Shard
+	pending []pendingWrite
+	now     bwclock.Time
+	serial  int
+	holders map[string]*bwclaim.Record
+}
+
+func newClaimMachine() *claimMachine {
+	return &claimMachine{
+		store:   slotStore{slots: make(map[string]bwclaim.StoredBatch), revs: make(map[string]int64)},
+		owners:  []*bwclaim.Shard{{}, {}, {}},
+		now:     1_000_000,
+		holders: make(map[string]*bwclaim.Record),
+	}
+}
+
+func (m *claimMachine) owner(t *rapid.T) int { return rapid.IntRange(0, len(m.owners)-1).Draw(t, "owner") }
+
+func (m *claimMachine) key(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"k1", "k2", "k3", "k4"}).Draw(t, "key")
+}
+
+// Claim composes a batch with a claim; the write may happen much later.
+func (m *claimMachine) Claim(t *rapid.T) {
+	o, key := m.owner(t), m.key(t)
+	m.serial++
+	attempt := fmt.Sprintf("a%d", m.serial)
+	if m.owners[o].Decide(key, attempt, m.now) != bwclaim.Grant {
+		return
+	}
+	r := bwclaim.NewRecord(key, attempt, "entry", attempt, m.now, testWindow)
+	m.compose(o, []*bwclaim.Record{r}, []*bwclaim.Record{r})
+}
+
+func (m *claimMachine) compose(o int, records, grants []*bwclaim.Record) {
+	m.pending = append(m.pending, pendingWrite{
+		owner:    o,
+		batch:    m.owners[o].NextBatch(fmt.Sprint(o), records, m.now),
+		expected: m.owners[o].ExpectedRevision(),
+		grants:   grants,
+	})
+}
+
+// Write sends one of the composed batches, in any order.
+func (m *claimMachine) Write(t *rapid.T) {
+	if len(m.pending) == 0 {
+		t.Skip("nothing pending")
+	}
+	i := rapid.IntRange(0, len(m.pending)-1).Draw(t, "write")
+	w := m.pending[i]
+	m.pending = append(m.pending[:i], m.pending[i+1:]...)
+	key := bwclaim.SlotKey(0, w.batch.GetSequence())
+	revision, ok := m.store.swap(key, w.batch, w.expected)
+	if !ok {
+		m.owners[w.owner] = m.store.read()
+		return
+	}
+	for _, g := range w.grants {
+		m.grant(t, g)
+	}
+	if m.owners[w.owner].Sequence()+1 == w.batch.GetSequence() {
+		m.owners[w.owner].Apply(w.batch, revision)
+	} else {
+		m.owners[w.owner] = m.store.read()
+	}
+}
+
+// grant checks the promise: within the window of a key at most one attempt holds it.
+func (m *claimMachine) grant(t *rapid.T, g *bwclaim.Record) {
+	old := m.holders[g.GetKey()]
+	if old != nil && old.GetExpiresMillis() > g.GetAtMillis() {
+		t.Fatalf("key %s granted to %s while %s holds it", g.GetKey(), g.GetAttempt(), old.GetAttempt())
+	}
+	m.holders[g.GetKey()] = g
+}
+
+// Settle records the outcome of a holder, or releases its key.
+func (m *claimMachine) Settle(t *rapid.T) {
+	key := m.key(t)
+	holder := m.holders[key]
+	if holder == nil {
+		t.Skip("no holder")
+	}
+	o := m.owner(t)
+	r := proto.CloneOf(holder)
+	r.AtMillis = m.now.Millis()
+	r.State = bwclaim.State_settled
+	r.Outcome = bwoutcome.Ran(200, "text/plain", []byte("done"))
+	isRelease := rapid.Bool().Draw(t, "release")
+	if isRelease {
+		r.State = bwclaim.State_released
+	}
+	b := m.owners[o].NextBatch(fmt.Sprint(o), []*bwclaim.Record{r}, m.now)
+	revision, ok := m.store.swap(bwclaim.SlotKey(0, b.GetSequence()), b, m.owners[o].ExpectedRevision())
+	if !ok {
+		m.owners[o] = m.store.read()
+		return
+	}
+	m.owners[o].Apply(b, revision)
+	if isRelease && holder.GetState() == bwclaim.State_claimed && m.owners[o].Record(key, m.now) == nil {
+		delete(m.holders, key)
+	}
+}
+
+// Restart replaces an owner, which reads the log anew.
+func (m *claimMachine) Restart(t *rapid.T) { m.owners[m.owner(t)] = m.store.read() }
+
+// Wait lets time pass, at times beyond the window.
+func (m *claimMachine) Wait(t *rapid.T) {
+	m.now += bwclock.Time(rapid.IntRange(1, 6000).Draw(t, "millis"))
+}
+
+// Check compares a reader's view with the oracle.
+func (m *claimMachine) Check(t *rapid.T) {
+	fresh := m.store.read()
+	for key, holder := range m.holders {
+		if holder.GetExpiresMillis() <= m.now.Millis() {
+			continue
+		}
+		r := fresh.Record(key, m.now)
+		if r == nil || r.GetAttempt() != holder.GetAttempt() {
+			t.Fatalf("the log lost the claim of %s by %s", key, holder.GetAttempt())
+		}
+	}
+}
+
+func TestClaimMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newClaimMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": m.Claim, "write": m.Write, "settle": m.Settle, "restart": m.Restart, "wait": m.Wait, "": m.Check,
+		})
+	})
+}
+
+func TestRingKeepsCheckpoint(t *testing.T) {
+	m := newClaimMachine()
+	s := m.owners[0]
+	for i := range 10 * bwclaim.RingSlots {
+		key := fmt.Sprintf("key%d", i)
+		r := bwclaim.NewRecord(key, "a", "entry", "r", m.now, time.Hour)
+		b := s.NextBatch("0", []*bwclaim.Record{r}, m.now)
+		revision, ok := m.store.swap(bwclaim.SlotKey(0, b.GetSequence()), b, s.ExpectedRevision())
+		assert.Assert(t, ok)
+		s.Apply(b, revision)
+	}
+	assert.Equal(t, len(m.store.slots), bwclaim.RingSlots)
+	assert.Equal(t, m.store.read().Len(), 10*bwclaim.RingSlots)
+}
+
+func TestFullShardRefuses(t *testing.T) {
+	s := &bwclaim.Shard{}
+	now := bwclock.Time(1000)
+	var records []*bwclaim.Record
+	for i := range bwclaim.MaxRecords {
+		records = append(records, bwclaim.NewRecord(fmt.Sprintf("key%d", i), "a", "entry", "r", now, time.Minute))
+	}
+	s.Apply(s.NextBatch("0", records, now), 1)
+	assert.Equal(t, s.Decide("another", "b", now), bwclaim.Full)
+	assert.Equal(t, s.Decide("key1", "a", now), bwclaim.SameHolder)
+}
--- /dev/null
+++ b/bwproof/fleet_test.go
@@ -0,0 +1,385 @@
+// Package bwproof_test proves the promises of basilwood on whole fleets: real entries and
+// controllers on an in-memory network against the stand-ins, in simulated time.
+package bwproof_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwcontroller"
+	"basilwood.example/basilwood/bwentry"
+	"basilwood.example/basilwood/bwpipe"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwstandin"
+	"basilwood.example/basilwood/bwstore"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	storeAddress    = "10.0.0.1:80"
+	platformAddress = "10.0.0.2:80"
+	clientHost      = "10.0.9.1"
+	hostsPerPool    = 4
+	serviceMean     = 20 * time.Millisecond
+	platformLag     = 500 * time.Millisecond
+	rebootTime      = 800 * time.Millisecond
+)
+
+// The fleet has two pools. Counts are non-idempotent, reads idempotent.
+var pools = []string{"alpha", "beta"}
+
+// fleet is a whole system in one bubble of simulated time.
+type fleet struct {
+	t           *testing.T
+	net         *bwpipe.Network
+	store       *bwstandin.Store
+	platform    *bwstandin.Platform
+	targets     map[string]*bwstandin.Target
+	entries     []*process
+	controllers []*process
+	servers     []*http.Server
+	client      *http.Client
+	group       sync.WaitGroup
+}
+
+// process is one run of an entry or a controller.
+type process struct {
+	id      int
+	run     int
+	ip      string
+	cancel  context.CancelFunc
+	done    chan struct{}
+	isClean bool
+	isUp    bool
+}
+
+func newFleet(t *testing.T, entries, controllers int) *fleet {
+	f := &fleet{t: t, net: bwpipe.New(), store: bwstandin.NewStore(1), targets: make(map[string]*bwstandin.Target)}
+	f.serve(storeAddress, f.store.Handler())
+	var executors []bwstandin.Executor
+	for i, name := range hostNames() {
+		target := bwstandin.NewTarget(name, 8, serviceMean, uint64(i))
+		f.targets[name] = target
+		executors = append(executors, target)
+		f.serve(hostAddress(i), target.Handler())
+	}
+	f.platform = bwstandin.NewPlatform(executors, platformLag, rebootTime, 1)
+	f.serve(platformAddress, f.platform.Handler())
+	transport := &http.Transport{DialContext: f.net.DialContext(clientHost), MaxIdleConnsPerHost: 100}
+	f.client = &http.Client{Transport: transport}
+	for i := range controllers {
+		f.startController(i)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if controllers > 0 {
+		f.configure()
+	}
+	for i := range entries {
+		f.startEntry(i)
+	}
+	f.awaitReady()
+	return f
+}
+
+func hostNames() []string {
+	var names []string
+	for _, pool := range pools {
+		for i := range hostsPerPool {
+			names = append(names, fmt.Sprintf("%s-%d", pool, i))
+		}
+	}
+	return names
+}
+
+func hostAddress(i int) string        { return fmt.Sprintf("10.0.1.%d:80", i+1) }
+func callerAddress(p *process) string { return p.ip + ":80" }
+
+func (f *fleet) serve(address string, h http.Handler) {
+	s := &http.Server{Handler: h}
+	f.servers = append(f.servers, s)
+	l := f.net.Listen(address)
+	f.group.Go(func() { _ = s.Serve(l) })
+}
+
+// configure applies the teams, pools, hosts and profiles through the administration API.
+func (f *fleet) configure() {
+	f.put("teams/team", map[string]any{"name": "team", "quotaSlots": 100})
+	for _, pool := range pools {
+		f.put("pools/"+pool, map[string]any{"name": pool, "service": pool, "maxUnavailable": 1})
+	}
+	time.Sleep(200 * time.Millisecond)
+	for i, name := range hostNames() {
+		f.put("hosts/"+name, map[string]any{
+			"name": name, "pool": pools[i/hostsPerPool], "rack": fmt.Sprintf("rack%d", i), "dataCentre": fmt.Sprintf("dc%d", i%3),
+			"address": hostAddress(i), "slots": 8, "cores": 16,
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, pool := range pools {
+		f.put("profiles/"+pool+"-reads", map[string]any{
+			"name": pool + "-reads", "team": "team", "pool": pool, "guaranteedSlots": 8, "timeoutMillis": 3000,
+		})
+		f.put("profiles/"+pool+"-counts", map[string]any{
+			"name": pool + "-counts", "team": "team", "pool": pool, "guaranteedSlots": 8, "timeoutMillis": 3000,
+			"urgency": "high", "repetition": "nonIdempotent", "keyWindowMillis": 600000,
+		})
+	}
+}
+
+// put stores a value through the first controller and returns its revision.
+func (f *fleet) put(path string, value map[string]any) int64 {
+	f.t.Helper()
+	body, err := json.Marshal(value)
+	assert.NilError(f.t, err)
+	status, reply := f.administer(http.MethodPut, "/v1/"+path, body)
+	assert.Equal(f.t, status, http.StatusOK, string(reply))
+	var item bwcontroller.Item
+	assert.NilError(f.t, json.Unmarshal(reply, &item))
+	return item.Revision
+}
+
+// administer calls a running controller.
+func (f *fleet) administer(method, path string, body []byte) (int, []byte) {
+	f.t.Helper()
+	for _, p := range f.controllers {
+		if !p.isUp {
+			continue
+		}
+		req, err := http.NewRequest(method, "http://"+p.ip+":80"+path, bytes.NewReader(body))
+		assert.NilError(f.t, err)
+		resp, err := f.client.Do(req)
+		if err != nil {
+			continue
+		}
+		defer resp.Body.Close()
+		reply, err := io.ReadAll(resp.Body)
+		assert.NilError(f.t, err)
+		return resp.StatusCode, reply
+	}
+	return 0, nil
+}
+
+func (f *fleet) storeClient(ip string) *bwstore.Client {
+	return bwstore.New("http://"+storeAddress,
+		bwstore.WithTransport(&http.Transport{DialContext: f.net.DialContext(ip), MaxIdleConnsPerHost: 8}))
+}
+
+func (f *fleet) platformClient(ip string) *bwplatform.Client {
+	return bwplatform.New("http://"+platformAddress,
+		bwplatform.WithTransport(&http.Transport{DialContext: f.net.DialContext(ip), MaxIdleConnsPerHost: 4}))
+}
+
+// startEntry starts a new run of entry i at an address of its own.
+func (f *fleet) startEntry(i int) *process {
+	p := &process{id: i, isUp: true, done: make(chan struct{})}
+	if i < len(f.entries) {
+		p.run = f.entries[i].run + 1
+		f.entries[i] = p
+	} else {
+		f.entries = append(f.entries, p)
+	}
+	p.ip = fmt.Sprintf("10.0.2.%d", 1+i+10*p.run)
+	s, platform := f.storeClient(p.ip), f.platformClient(p.ip)
+	var seeds []string
+	for _, other := range f.entries {
+		if other.isUp && other != p {
+			seeds = append(seeds, other.ip+":81")
+		}
+	}
+	e := bwentry.New(bwentry.Identity{ID: fmt.Sprintf("entry%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), PeerAddress: p.ip + ":81"},
+		s, platform, bwentry.WithDials(f.net.Dialer(p.ip), f.net.DialContext(p.ip)), bwentry.WithSeeds(seeds))
+	listeners := bwentry.Listeners{
+		Callers: f.net.Listen(p.ip + ":80"), Peers: f.net.Listen(p.ip + ":81"), Operations: f.net.Listen(p.ip + ":82"),
+	}
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancel(context.Background())
+	f.group.Go(func() {
+		p.isClean, _ = e.Run(ctx, listeners)
+		s.Close()
+		platform.Close()
+		close(p.done)
+	})
+	return p
+}
+
+func (f *fleet) startController(i int) *process {
+	p := &process{id: i, isUp: true, done: make(chan struct{})}
+	if i < len(f.controllers) {
+		p.run = f.controllers[i].run + 1
+		f.controllers[i] = p
+	} else {
+		f.controllers = append(f.controllers, p)
+	}
+	p.ip = fmt.Sprintf("10.0.3.%d", 1+i+10*p.run)
+	s, platform := f.storeClient(p.ip), f.platformClient(p.ip)
+	c := bwcontroller.New(bwcontroller.Identity{ID: fmt.Sprintf("controller%d", i), Address: p.ip + ":80"},
+		s, platform, bwcontroller.WithPeerDial(f.net.Dialer(p.ip)))
+	listeners := bwcontroller.Listeners{Administration: f.net.Listen(p.ip + ":80"), Operations: f.net.Listen(p.ip + ":82")}
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancel(context.Background())
+	f.group.Go(func() {
+		_ = c.Run(ctx, listeners)
+		s.Close()
+		platform.Close()
+		close(p.done)
+	})
+	return p
+}
+
+// kill cuts a process off at once. What is left of it can reach nobody.
+func (f *fleet) kill(p *process) {
+	p.isUp = false
+	f.net.Isolate(p.ip)
+	p.cancel()
+}
+
+// stop asks a process for a planned stop and waits for it.
+func (f *fleet) stop(p *process) {
+	p.isUp = false
+	p.cancel()
+	<-p.done
+}
+
+// awaitReady waits until every entry that is up serves callers.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	for range 200 {
+		ready := 0
+		for _, p := range f.entries {
+			if !p.isUp {
+				ready++
+				continue
+			}
+			resp, err := f.client.Get("http://" + p.ip + ":82/readyz")
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(f.entries) {
+			time.Sleep(time.Second)
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatal("the entries did not become ready")
+}
+
+// close ends everything, so that the bubble has no goroutine left.
+func (f *fleet) close() {
+	for _, p := range append(f.entries, f.controllers...) {
+		p.cancel()
+	}
+	for _, p := range append(f.entries, f.controllers...) {
+		<-p.done
+	}
+	f.client.CloseIdleConnections()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.group.Wait()
+}
+
+// executions counts what the targets started, by request id.
+func (f *fleet) executions() map[string]int {
+	counts := make(map[string]int)
+	for _, t := range f.targets {
+		for _, e := range t.Executions() {
+			counts[e.RequestID]++
+		}
+	}
+	return counts
+}
+
+// told is what one caller asked and was told.
+type told struct {
+	pool     string
+	profile  string
+	key      string
+	payload  string
+	id       string
+	outcome  string
+	reason   string
+	status   int
+	body     string
+	replayed bool
+	sentAt   time.Time
+	took     time.Duration
+}
+
+// ask sends a request to an entry and records the reply in r.
+func (f *fleet) ask(ctx context.Context, p *process, r *told, timeout time.Duration) {
+	r.sentAt = time.Now()
+	defer func() { r.took = time.Since(r.sentAt) }()
+	url := "http://" + callerAddress(p) + "/v1/services/" + r.pool + "/requests"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(r.payload)))
+	if err != nil {
+		return
+	}
+	req.GetBody = nil
+	req.Header.Set(bwentry.HeaderProfile, r.profile)
+	req.Header.Set(bwentry.HeaderCaller, "tester")
+	req.Header.Set(bwentry.HeaderTimeout, timeout.String())
+	if r.key != "" {
+		req.Header.Set(bwentry.HeaderIdempotencyKey, r.key)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	r.id = resp.Header.Get(bwentry.HeaderRequestID)
+	r.outcome = resp.Header.Get(bwentry.HeaderOutcome)
+	r.replayed = resp.Header.Get(bwentry.HeaderReplayed) != ""
+	r.status = resp.StatusCode
+	r.body = string(body)
+	var problem bwentry.Problem
+	if r.outcome != "ran" && json.Unmarshal(body, &problem) == nil {
+		r.reason = problem.Reason
+	}
+}
+
+// account asks an entry for the account of a request; nil when there is none.
+func (f *fleet) account(p *process, id string) *bwaccount.Account {
+	resp, err := f.client.Get("http://" + callerAddress(p) + "/v1/requests/" + id)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var list bwentry.AccountList
+	if json.NewDecoder(resp.Body).Decode(&list) != nil || len(list.Accounts) != 1 {
+		return nil
+	}
+	a := new(bwaccount.Account)
+	if bwcodec.Unmarshal(list.Accounts[0], a) != nil {
+		return nil
+	}
+	return a
+}
+
+// up returns the running entries.
+func (f *fleet) up() []*process {
+	var list []*process
+	for _, p := range f.entries {
+		if p.isUp {
+			list = append(list, p)
+		}
+	}
+	return list
+}
