bwproof: promises machine over whole fleets

Found on the way: Registrar.Leave waited for a mutex held during a store call, so a planned stop hung while the store was silent; the registrar now passes a turn that respects the context.

--- a/bwmember/registrar.go
+++ b/bwmember/registrar.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
-	"sync"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
@@ -47,13 +46,14 @@
 	beat  *bwpeer.Beat
 	log   hclog.Logger
 
-	mu    sync.Mutex
+	// turn is held by whoever calls the store, and guards lease.
+	turn  chan struct{}
 	lease bwstore.LeaseID
 }
 
 // NewRegistrar returns a registrar that writes beat to key.
 func NewRegistrar(s store, key string, beat *bwpeer.Beat, log hclog.Logger) *Registrar {
-	return &Registrar{store: s, key: key, beat: beat, log: log}
+	return &Registrar{store: s, key: key, beat: beat, log: log, turn: make(chan struct{}, 1)}
 }
 
 // Run keeps the registration until ctx ends. A lease that lapsed is replaced.
@@ -71,10 +71,24 @@
 	}
 }
 
+// take waits for the turn unless ctx ends first.
+func (r *Registrar) take(ctx context.Context) bool {
+	select {
+	case r.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Registrar) give() { <-r.turn }
+
 // keep renews the lease, or registers anew when it has ended.
 func (r *Registrar) keep(ctx context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	if !r.take(ctx) {
+		return ctx.Err()
+	}
+	defer r.give()
 	if r.lease != bwstore.NoLease {
 		ok, err := r.store.RenewLease(ctx, r.lease)
 		if ok || err != nil {
@@ -122,8 +136,10 @@
 
 // Leave gives up the lease. If that fails the lease lapses.
 func (r *Registrar) Leave(ctx context.Context) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	if !r.take(ctx) {
+		return
+	}
+	defer r.give()
 	if r.lease == bwstore.NoLease {
 		return
 	}
--- a/bwpipe/network.go
+++ b/bwpipe/network.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// HealCuts joins every pair of hosts again.
+func (n *Network) HealCuts() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
 // Isolate cuts a host off for good, as a kill does.
 func (n *Network) Isolate(host string) {
 	n.mu.Lock()
--- a/bwproof/fleet_test.go
+++ b/bwproof/fleet_test.go
@@ -290,6 +290,8 @@
 		_ = s.Close()
 	}
 	f.group.Wait()
+	// Handlers whose caller is gone end by their own timeouts.
+	time.Sleep(time.Minute)
 }
 
 // executions counts what the targets started, by request id.
@@ -373,6 +375,45 @@
 	return a
 }
 
+// unfinished returns the ids of requests without a final account, as one entry sees it.
+func (f *fleet) unfinished(p *process) []string {
+	resp, err := f.client.Get("http://" + callerAddress(p) + "/v1/requests?caller=tester")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var list bwentry.AccountList
+	if json.NewDecoder(resp.Body).Decode(&list) != nil {
+		return nil
+	}
+	var ids []string
+	for _, raw := range list.Accounts {
+		a := new(bwaccount.Account)
+		if bwcodec.Unmarshal(raw, a) == nil && !a.GetFinal() {
+			ids = append(ids, a.GetRequestId())
+		}
+	}
+	return ids
+}
+
+// cancel asks an entry to cancel a request and returns the result.
+func (f *fleet) cancel(p *process, id string) string {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+callerAddress(p)+"/v1/requests/"+id, nil)
+	if err != nil {
+		return ""
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var c bwentry.Cancellation
+	if json.NewDecoder(resp.Body).Decode(&c) != nil {
+		return ""
+	}
+	return c.Result
+}
+
 // up returns the running entries.
 func (f *fleet) up() []*process {
 	var list []*process
--- a/bwstandin/faults.go
+++ b/bwstandin/faults.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -77,6 +78,8 @@
 func (s *Switchboard) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
 	f, dropped := s.draw()
 	if f.Silent {
+		// The server only notices that the caller is gone after the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
--- a/bwstandin/target.go
+++ b/bwstandin/target.go
@@ -13,14 +13,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const maxTargetBody = 8 << 20
+const (
+	maxTargetBody      = 8 << 20
+	maxRecordedPayload = 64
+)
 
 // Execution is one request that a target started.
 type Execution struct {
 	RequestID string `json:"requestId"`
 	AttemptID string `json:"attemptId"`
-	Key       string `json:"key"`
-	Finished  bool   `json:"finished"`
+	// Payload is the start of the request's body.
+	Payload  string `json:"payload"`
+	Finished bool   `json:"finished"`
 }
 
 // TargetMode is a misbehaviour of a target beside the common faults.
@@ -145,7 +149,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	run, refusal := t.start(r)
+	run, refusal := t.start(r, body)
 	if refusal != "" {
 		w.Header().Set(bwtarget.HeaderNotStarted, refusal)
 		http.Error(w, refusal, http.StatusServiceUnavailable)
@@ -197,7 +201,7 @@
 }
 
 // start admits a request or returns the reason why it was not started.
-func (t *Target) start(r *http.Request) (execution, string) {
+func (t *Target) start(r *http.Request, body []byte) (execution, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.draining || t.down {
@@ -211,7 +215,7 @@
 	t.executions = append(t.executions, Execution{
 		RequestID: r.Header.Get(bwtarget.HeaderRequestID),
 		AttemptID: r.Header.Get(bwtarget.HeaderAttemptID),
-		Key:       r.Header.Get("Test-Key"),
+		Payload:   string(body[:min(len(body), maxRecordedPayload)]),
 	})
 	return execution{index: len(t.executions) - 1, duration: t.serviceTime(), mode: t.mode}, ""
 }
