bwhome, bwconfig: remote refusals, isolated entries, ejection by evidence

(2) a leaving entry refused callers during its drain delay. (3) an entry that could reach neither store, peers nor platform went on by its last configuration; it now needs a witness that answers. (4) a home with one target could neither eject nor retry a black hole: the count is now for the pool, from heartbeats, and an idempotent request moves to another home once. (5) failures weigh by evidence: 1 alone, 4 once another target served the request, 0 once it failed there as well; ejection at 12.

Ruled out for (4): a load penalty for recent failures. It kept the black hole at 2 to 3 failures, below any threshold, and avoided it without probation; reverted.

--- a/bwconfig/freshness.go
+++ b/bwconfig/freshness.go
@@ -24,8 +24,9 @@
 	GateHold Gate = iota
 	// GateOpen means that the configuration was confirmed recently.
 	GateOpen
-	// GateBlind means that the store was asked recently and does not answer, so the
-	// last known configuration stays in use.
+	// GateBlind means that the store was asked recently and does not answer, while
+	// others do, so the last known configuration stays in use. Without that witness the
+	// fault may be the process's own network, and it holds.
 	GateBlind
 )
 
@@ -46,6 +47,7 @@
 	mu          sync.Mutex
 	confirmedAt bwclock.Time
 	failedFrom  bwclock.Time
+	witnessedAt bwclock.Time
 	tickedAt    bwclock.Time
 	pausedUntil bwclock.Time
 }
@@ -64,6 +66,13 @@
 	f.failedFrom = max(f.failedFrom, from)
 }
 
+// Witness records that a peer or the platform answered a call sent at the moment at.
+func (f *Freshness) Witness(at bwclock.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.witnessedAt = max(f.witnessedAt, at)
+}
+
 // Tick is called at each TickInterval. A larger gap means that the process was paused.
 func (f *Freshness) Tick(now bwclock.Time) {
 	f.mu.Lock()
@@ -86,7 +95,9 @@
 	if f.confirmedAt != bwclock.Never && now.Sub(f.confirmedAt) <= MaxAge {
 		return GateOpen
 	}
-	if f.failedFrom != bwclock.Never && f.failedFrom >= f.pausedUntil && f.failedFrom > f.confirmedAt {
+	isStoreSilent := f.failedFrom != bwclock.Never && f.failedFrom >= f.pausedUntil && f.failedFrom > f.confirmedAt
+	isWitnessed := f.witnessedAt != bwclock.Never && now.Sub(f.witnessedAt) <= MaxAge
+	if isStoreSilent && isWitnessed {
 		return GateBlind
 	}
 	return GateHold
--- a/bwentry/callers.go
+++ b/bwentry/callers.go
@@ -89,7 +89,9 @@
 		Receiver:       e.incarnation,
 	}
 	malformed := bwoutcome.NotRun(bwoutcome.Reason_malformed, 0)
-	if !e.IsReady() {
+	// A leaving entry still serves the callers that have not noticed; other entries are
+	// the homes of its requests.
+	if !e.replica.IsLoaded() {
 		return request, bwoutcome.NotRun(bwoutcome.Reason_notReady, retryAfter), ""
 	}
 	p := e.profileOf(request)
--- a/bwentry/mesh.go
+++ b/bwentry/mesh.go
@@ -18,7 +18,7 @@
 	beatTimeout      = 800 * time.Millisecond
 	pullTimeout      = 2 * time.Second
 	refreshInterval  = 100 * time.Millisecond
-	platformInterval = time.Second
+	platformInterval = 500 * time.Millisecond
 )
 
 // mesh keeps the entry's view of the other entries and derives from it which hosts and
@@ -103,14 +103,30 @@
 	m.table = bwroute.Build(v, live, func(host string) bool { return m.leaving[host] })
 	table := m.table
 	m.updateReach(m.view.Reachable(now))
+	ejected := ejectedElsewhere(live)
 	m.mu.Unlock()
 	m.entry.store.SetWriteLimit(bwstore.ClassClaims, m.entry.claimWrites/float64(max(1, len(live))))
 	if !m.entry.leaving.Load() {
+		m.entry.home.SetEjectedElsewhere(ejected)
 		m.entry.home.Configure(v, table.Assignment())
 	}
 	m.applied.Store(v.Revision())
 }
 
+// ejectedElsewhere counts the targets of each service that other entries have ejected.
+func ejectedElsewhere(live []bwmember.Member) map[string]int {
+	ejected := make(map[string]int)
+	for _, member := range live {
+		if member.IsSelf() {
+			continue
+		}
+		for _, l := range member.Loads() {
+			ejected[l.GetService()] += int(l.GetEjected())
+		}
+	}
+	return ejected
+}
+
 // updateReach ends the calls to entries that cannot be reached; the caller holds the lock.
 func (m *mesh) updateReach(reachable []bwmember.Member) {
 	current := make(map[string]string, len(reachable))
@@ -246,6 +262,7 @@
 		return
 	}
 	m.hear(reply)
+	m.entry.freshness.Witness(sent)
 	m.adopt(ctx, address, reply, sent)
 }
 
@@ -292,8 +309,10 @@
 // platform does not answer, the last list stays in use.
 func (m *mesh) pollPlatform(ctx context.Context) {
 	for ctx.Err() == nil {
+		asked := m.entry.clock.Now()
 		reports, err := m.entry.platform.Hosts(ctx)
 		if err == nil {
+			m.entry.freshness.Witness(asked)
 			m.setLeaving(reports)
 		}
 		wait(ctx, platformInterval)
--- a/bwentry/receiver.go
+++ b/bwentry/receiver.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	maxHandovers  = 4
-	replyGrace    = 500 * time.Millisecond
-	cancelTimeout = 500 * time.Millisecond
-	noTargetPause = 50 * time.Millisecond
-	retryAfter    = time.Second
+	maxHandovers = 4
+	// maxRetriesElsewhere bounds the homes that an idempotent request fails at.
+	maxRetriesElsewhere = 1
+	replyGrace          = 500 * time.Millisecond
+	cancelTimeout       = 500 * time.Millisecond
+	noTargetPause       = 50 * time.Millisecond
+	retryAfter          = time.Second
 )
 
 // nextRequestID returns an id that starts with the incarnation of this entry.
@@ -54,6 +56,7 @@
 // nothing about an earlier home that was lost, so a doubt stays.
 func (e *Entry) handOver(ctx context.Context, r *bwpeer.SubmitRequest, deadline bwclock.Time) *bwoutcome.Outcome {
 	var doubt *bwoutcome.Outcome
+	retries := 0
 	excluded := make(map[string]bool)
 	for range maxHandovers {
 		budget := deadline.Sub(e.clock.Now())
@@ -71,8 +74,13 @@
 			return firstOf(doubt, bwoutcome.NotRun(choice.Refusal(), max(retryAfter, choice.Wait())))
 		}
 		r.BudgetMillis = budget.Milliseconds()
-		o := e.submit(ctx, choice.Member(), r, budget)
+		o, isRetry := e.submit(ctx, choice.Member(), r, budget)
 		switch {
+		case isRetry && retries < maxRetriesElsewhere && ctx.Err() == nil:
+			// The home has failed the request on each of its targets.
+			retries++
+			doubt = o
+			excluded[choice.Member().ID()] = true
 		case o.GetKind() == bwoutcome.Kind_notRun && isRefusalOfHome(o.GetReason()) && ctx.Err() == nil:
 			excluded[choice.Member().ID()] = true
 		case o.GetKind() == bwoutcome.Kind_unknown && o.GetReason() == bwoutcome.Reason_homeLost && ctx.Err() == nil:
@@ -118,25 +126,26 @@
 	return bwroute.Choose(table, e.route, q, e.random)
 }
 
-// submit hands the request to one home and relays the outcome.
-func (e *Entry) submit(ctx context.Context, m bwmember.Member, r *bwpeer.SubmitRequest, budget time.Duration) *bwoutcome.Outcome {
+// submit hands the request to one home and relays the outcome. It reports true when an
+// idempotent request failed there and should run at another home.
+func (e *Entry) submit(ctx context.Context, m bwmember.Member, r *bwpeer.SubmitRequest, budget time.Duration) (*bwoutcome.Outcome, bool) {
 	e.setPending(r.GetRequestId(), m)
 	defer e.clearPending(r.GetRequestId())
 	e.noteForward(r, m)
 	if m.IsSelf() {
 		reply := e.home.Submit(ctx, r)
 		e.book.Note(r.GetRequestId(), reply.GetEvents()...)
-		return reply.GetOutcome()
+		return reply.GetOutcome(), reply.GetRetryElsewhere()
 	}
 	reply, err := e.callSubmit(ctx, m, r, budget)
 	if err != nil {
-		return e.afterLoss(m, r, err)
+		return e.afterLoss(m, r, err), false
 	}
 	if reply.GetRequestId() != r.GetRequestId() || !reply.GetOutcome().IsWhole() {
-		return bwoutcome.Unknown(bwoutcome.Reason_answerInvalid)
+		return bwoutcome.Unknown(bwoutcome.Reason_answerInvalid), false
 	}
 	e.book.Note(r.GetRequestId(), reply.GetEvents()...)
-	return reply.GetOutcome()
+	return reply.GetOutcome(), reply.GetRetryElsewhere()
 }
 
 func (e *Entry) callSubmit(ctx context.Context, m bwmember.Member, r *bwpeer.SubmitRequest, budget time.Duration) (*bwpeer.SubmitReply, error) {
--- a/bwhome/attempt.go
+++ b/bwhome/attempt.go
@@ -253,6 +253,7 @@
 	j.note(bwaccount.EventKind_answered, h.incarnation, t.host.GetName(), o.GetReason(), now)
 	if o.GetKind() == bwoutcome.Kind_ran && o.GetStatus() < http.StatusInternalServerError {
 		t.health.Succeed()
+		h.convict(s, j, now)
 		return o
 	}
 	h.blame(s, j, t, now)
@@ -260,6 +261,10 @@
 	if !h.mayRetry(s, j, now) {
 		return o
 	}
+	if !s.hasUntried(j, now) {
+		j.retryElsewhere = true
+		return o
+	}
 	j.note(bwaccount.EventKind_retried, h.incarnation, "", bwoutcome.Reason_none, now)
 	return nil
 }
@@ -305,13 +310,31 @@
 	h.countFailure(s, j, t, now)
 }
 
-// countFailure ejects the target after enough failures, if the service can do without.
+// convict counts the job's earlier failures fully against their targets, since another
+// target has served it.
+func (h *Home) convict(s *service, j *job, now bwclock.Time) {
+	for _, host := range j.failedOn {
+		if t := s.targets[host]; t != nil && t.health.Convict(j.id()) {
+			h.eject(s, t, now)
+		}
+	}
+}
+
+// countFailure ejects the target after enough failures.
 func (h *Home) countFailure(s *service, j *job, t *target, now bwclock.Time) {
-	wasEjected := t.health.State(now) != bwtarget.Healthy
-	if t.health.Fail(j.id(), now) && (wasEjected || s.mayEject(now)) {
-		h.log.Warn("target ejected", "host", t.host.GetName(), "service", s.name)
-		t.health.Eject(now)
+	if t.health.Fail(j.id(), now) {
+		h.eject(s, t, now)
+	}
+}
+
+// eject takes the target out of service if the pool can do without it. A target on trial
+// is out of service already.
+func (h *Home) eject(s *service, t *target, now bwclock.Time) {
+	if t.health.State(now) == bwtarget.Healthy && !s.mayEject(now) {
+		return
 	}
+	h.log.Warn("target ejected", "host", t.host.GetName(), "service", s.name)
+	t.health.Eject(now)
 }
 
 // mayRetry reports whether an idempotent job that failed may run again.
--- a/bwhome/home.go
+++ b/bwhome/home.go
@@ -117,18 +117,20 @@
 // Assignment is the set of hosts that an entry is the home of.
 type Assignment struct {
 	hosts map[string]bool
-	// poolSlots counts the slots of all active hosts of a pool, at every entry.
+	// poolSlots and poolHosts count the active hosts of a pool, at every entry.
 	poolSlots map[string]int
+	poolHosts map[string]int
 }
 
 // NewAssignment returns an empty assignment.
 func NewAssignment() Assignment {
-	return Assignment{hosts: make(map[string]bool), poolSlots: make(map[string]int)}
+	return Assignment{hosts: make(map[string]bool), poolSlots: make(map[string]int), poolHosts: make(map[string]int)}
 }
 
 // Add counts an active host, and assigns it to this entry when isHomed is set.
 func (a Assignment) Add(h *bwroster.Host, isHomed bool) {
 	a.poolSlots[h.GetPool()] += int(h.GetSlots())
+	a.poolHosts[h.GetPool()]++
 	if isHomed {
 		a.hosts[h.GetName()] = true
 	}
@@ -146,12 +148,23 @@
 			h.services[p.GetService()] = s
 		}
 		s.pool = p.GetName()
+		s.poolHosts = a.poolHosts[p.GetName()]
 		h.configureTargets(s, v.PoolHosts(p.GetName()), a)
 		h.configureShares(s, v, a)
 		h.pump(s)
 	}
 }
 
+// SetEjectedElsewhere sets the number of ejected targets of each service at the other
+// entries.
+func (h *Home) SetEjectedElsewhere(ejected map[string]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, s := range h.services {
+		s.ejectedElsewhere = ejected[name]
+	}
+}
+
 func (h *Home) configureTargets(s *service, hosts []*bwroster.Host, a Assignment) {
 	present := make(map[string]bool, len(hosts))
 	s.maxCores = 0
@@ -185,7 +198,7 @@
 // configureShares gives each profile the part of its guarantee that matches the part of
 // the pool's slots at this entry.
 func (h *Home) configureShares(s *service, v *bwconfig.Version, a Assignment) {
-	slots := s.slots()
+	slots := s.slots(h.clock.Now())
 	part := 0.0
 	if total := a.poolSlots[s.pool]; total > 0 {
 		part = float64(slots) / float64(total)
@@ -233,10 +246,23 @@
 			j.isQueued = false
 			h.finish(j, j.refuse(bwoutcome.Reason_deadlinePassed))
 		}
+		if s.queue.Len() > 0 && !s.isServing(now) {
+			h.giveBack(s)
+		}
 		h.pump(s)
 	}
 }
 
+// giveBack returns the queued requests of a service that has no target in service here,
+// so that their receivers can use another home.
+func (h *Home) giveBack(s *service) {
+	for _, j := range h.jobs {
+		if j.request.GetService() == s.name && h.unqueue(j) {
+			h.finish(j, j.refuse(bwoutcome.Reason_notHome))
+		}
+	}
+}
+
 func (h *Home) forget() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -269,7 +295,12 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &bwpeer.SubmitReply{RequestId: r.GetRequestId(), Outcome: j.outcome, Events: j.events}
+	return &bwpeer.SubmitReply{
+		RequestId:      r.GetRequestId(),
+		Outcome:        j.outcome,
+		Events:         j.events,
+		RetryElsewhere: j.retryElsewhere,
+	}
 }
 
 // admit queues a request or returns the outcome that refuses it.
@@ -319,7 +350,7 @@
 		return nil, bwoutcome.NotRun(bwoutcome.Reason_malformed, 0)
 	}
 	s := h.services[r.GetService()]
-	if s == nil || !s.isHomed() {
+	if s == nil || !s.isServing(h.clock.Now()) {
 		return nil, bwoutcome.NotRun(bwoutcome.Reason_notHome, retryAfter)
 	}
 	p := h.version.Profile(r.GetProfile())
@@ -457,10 +488,11 @@
 func (h *Home) Loads() []*bwpeer.ServiceLoad {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := h.clock.Now()
 	var loads []*bwpeer.ServiceLoad
 	for _, s := range h.services {
-		if s.isHomed() {
-			loads = append(loads, s.load())
+		if len(s.targets) > 0 {
+			loads = append(loads, s.load(now))
 		}
 	}
 	return loads
--- a/bwhome/job.go
+++ b/bwhome/job.go
@@ -42,6 +42,8 @@
 	// fallback is the outcome if no further attempt is made.
 	fallback *bwoutcome.Outcome
 	claim    string
+	// retryElsewhere is set when another home should make the next attempt.
+	retryElsewhere bool
 }
 
 func (j *job) id() string { return j.request.GetRequestId() }
--- a/bwhome/service.go
+++ b/bwhome/service.go
@@ -11,8 +11,8 @@
 	"basilwood.example/basilwood/bwtarget"
 )
 
-// maxEjectedShare bounds the targets of a service that are ejected at one entry, so that
-// a fault of the requests cannot empty the pool.
+// maxEjectedShare bounds the targets of a pool that are ejected at once, so that a fault
+// of the requests cannot empty the pool.
 const maxEjectedShare = 1.0 / 3
 
 // target is one host that this entry sends work to.
@@ -47,6 +47,9 @@
 	targets  map[string]*target
 	budgets  map[string]*retryBudget
 	maxCores int
+	// poolHosts counts the active hosts of the pool at every entry.
+	poolHosts        int
+	ejectedElsewhere int
 }
 
 func newService(name string, policy bwqueue.Policy) *service {
@@ -58,19 +61,36 @@
 	}
 }
 
-// slots returns the slots of the homed targets.
-func (s *service) slots() int {
+// slots returns the slots of the homed targets that are in service. A target on trial
+// counts as one slot.
+func (s *service) slots(now bwclock.Time) int {
 	n := 0
 	for _, t := range s.targets {
-		if t.isHomed {
+		if !t.isHomed {
+			continue
+		}
+		switch t.health.State(now) {
+		case bwtarget.Healthy:
 			n += int(t.host.GetSlots())
+		case bwtarget.OnTrial:
+			n++
 		}
 	}
 	return n
 }
 
-// isHomed reports whether the entry sends work to any target of the service.
-func (s *service) isHomed() bool { return s.slots() > 0 }
+// isServing reports whether the entry can send work to any target of the service.
+func (s *service) isServing(now bwclock.Time) bool { return s.slots(now) > 0 }
+
+// hasUntried reports whether a target is left that the job has not failed on.
+func (s *service) hasUntried(j *job, now bwclock.Time) bool {
+	for name, t := range s.targets {
+		if t.isHomed && !j.tried[name] && t.health.State(now) != bwtarget.Ejected {
+			return true
+		}
+	}
+	return false
+}
 
 // choose returns the target for a job: the one with the most free capacity among those
 // that have not failed the job before, then among the rest; nil when none is free.
@@ -95,10 +115,9 @@
 	return a.pressure() < b.pressure()
 }
 
-// pressure orders targets by use. Recent failures weigh like requests in flight, so
-// that a target that fails quickly does not look idle.
+// pressure orders targets by use.
 func (t *target) pressure() float64 {
-	return float64(t.inFlight+2*t.health.FailureCount()) / float64(t.host.GetSlots())
+	return float64(t.inFlight) / float64(t.host.GetSlots())
 }
 
 func (s *service) hasFree(now bwclock.Time) bool {
@@ -110,19 +129,22 @@
 	return false
 }
 
-// mayEject reports whether one more target can be taken out of service.
+// mayEject reports whether the pool can do without one more target. The count includes
+// what other entries have ejected, as of their last heartbeats.
 func (s *service) mayEject(now bwclock.Time) bool {
-	homed, ejected := 0, 0
+	allowed := max(1, int(maxEjectedShare*float64(s.poolHosts)))
+	return s.poolHosts > 1 && s.ejectedElsewhere+s.ejected(now) < allowed
+}
+
+// ejected counts the targets that are out of service or on trial.
+func (s *service) ejected(now bwclock.Time) int {
+	n := 0
 	for _, t := range s.targets {
-		if !t.isHomed {
-			continue
-		}
-		homed++
-		if t.health.State(now) != bwtarget.Healthy {
-			ejected++
+		if t.isHomed && t.health.State(now) != bwtarget.Healthy {
+			n++
 		}
 	}
-	return ejected+1 <= max(1, int(maxEjectedShare*float64(homed))) && homed > 1
+	return n
 }
 
 func (s *service) sorted() []*target {
@@ -135,12 +157,13 @@
 }
 
 // load returns what receivers need to know.
-func (s *service) load() *bwpeer.ServiceLoad {
+func (s *service) load(now bwclock.Time) *bwpeer.ServiceLoad {
 	l := &bwpeer.ServiceLoad{
 		Service: s.name,
-		Slots:   int32(s.slots()),
+		Slots:   int32(s.slots(now)),
 		Busy:    int32(s.queue.InUse()),
 		Queued:  int32(s.queue.Len()),
+		Ejected: int32(s.ejected(now)),
 	}
 	for name := range s.budgets {
 		l.Profiles = append(l.Profiles, &bwpeer.ProfileLoad{
--- a/bwhome/state.go
+++ b/bwhome/state.go
@@ -30,7 +30,7 @@
 		state := ServiceState{
 			Service: s.name,
 			Pool:    s.pool,
-			Slots:   s.slots(),
+			Slots:   s.slots(now),
 			Busy:    s.queue.InUse(),
 			Queued:  s.queue.Len(),
 		}
--- a/bwmember/view.go
+++ b/bwmember/view.go
@@ -56,6 +56,9 @@
 // Revision returns the configuration revision that the entry has announced.
 func (m Member) Revision() int64 { return m.beat.GetRevision() }
 
+// Loads returns the announced load of every service.
+func (m Member) Loads() []*bwpeer.ServiceLoad { return m.beat.GetLoads() }
+
 // Load returns the announced load of the service, or nil.
 func (m Member) Load(service string) *bwpeer.ServiceLoad {
 	for _, l := range m.beat.GetLoads() {
--- a/bwoutcome/outcome.go
+++ b/bwoutcome/outcome.go
@@ -35,9 +35,9 @@
 	return &Outcome{Kind: Kind_unknown, Reason: r}
 }
 
-// IsWhole reports whether the body of o matches its checksum.
+// IsWhole reports whether the answer of o, if it carries one, matches its checksum.
 func (o *Outcome) IsWhole() bool {
-	return o.GetChecksum() == xxhash.Sum64(o.GetBody())
+	return o.GetKind() != Kind_ran || o.GetChecksum() == xxhash.Sum64(o.GetBody())
 }
 
 // HTTPStatus returns the status code that a caller receives for o.
--- a/bwproof/fleet_test.go
+++ b/bwproof/fleet_test.go
@@ -49,6 +49,7 @@
 	servers     []*http.Server
 	client      *http.Client
 	group       sync.WaitGroup
+	loads       []*load
 }
 
 // process is one run of an entry or a controller.
@@ -60,6 +61,7 @@
 	done    chan struct{}
 	isClean bool
 	isUp    bool
+	isReady bool
 }
 
 func newFleet(t *testing.T, entries, controllers int) *fleet {
@@ -265,6 +267,7 @@
 			}
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
+				p.isReady = true
 				ready++
 			}
 		}
@@ -279,6 +282,9 @@
 
 // close ends everything, so that the bubble has no goroutine left.
 func (f *fleet) close() {
+	for _, l := range f.loads {
+		l.finish()
+	}
 	for _, p := range append(f.entries, f.controllers...) {
 		p.cancel()
 	}
--- /dev/null
+++ b/bwproof/promises_test.go
@@ -0,0 +1,409 @@
+package bwproof_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilwood.example/basilwood/bwaccount"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwpool"
+	"basilwood.example/basilwood/bwroster"
+	"basilwood.example/basilwood/bwstandin"
+	"gotest.tools/v3/assert"
+)
+
+// load sends requests at a steady rate until it is stopped.
+type load struct {
+	fleet *fleet
+	stop  context.CancelFunc
+	group sync.WaitGroup
+	mu    sync.Mutex
+	told  []*told
+}
+
+// startLoad spreads requests over the entries that are up, like a balancer.
+func startLoad(f *fleet, interval time.Duration) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{fleet: f, stop: cancel}
+	f.loads = append(f.loads, l)
+	l.group.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			l.group.Go(func() { l.one(n) })
+			time.Sleep(interval)
+		}
+	})
+	return l
+}
+
+// ready returns the entries that a balancer would use.
+func (f *fleet) ready() []*process {
+	var list []*process
+	for _, p := range f.up() {
+		if p.isReady {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (l *load) one(n int) {
+	pool := pools[n%2]
+	r := &told{pool: pool, profile: pool + "-reads", payload: fmt.Sprintf("n%d/", n)}
+	if n%4 == 0 {
+		r.profile = pool + "-counts"
+		r.key = fmt.Sprintf("load%d", n)
+		r.payload += r.key
+	}
+	// A refused connection is tried at the next entry, because nothing was sent.
+	for i := 0; i < 10 && r.outcome == ""; i++ {
+		up := l.fleet.ready()
+		l.fleet.ask(context.Background(), up[(n+i)%len(up)], r, 3*time.Second)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, r)
+}
+
+// finish stops the load and returns what callers were told.
+func (l *load) finish() []*told {
+	l.stop()
+	l.group.Wait()
+	return l.told
+}
+
+// outcomes counts replies by outcome and reason.
+func outcomes(list []*told) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range list {
+		counts[r.outcome+" "+r.reason]++
+	}
+	return counts
+}
+
+// wave starts the maintenance of a pool and waits until it is complete.
+func (f *fleet) wave(pool string, limit time.Duration) time.Duration {
+	f.t.Helper()
+	started := time.Now()
+	status, reply := f.administer(http.MethodPost, "/v1/pools/"+pool+"/maintenance/start", nil)
+	assert.Equal(f.t, status, http.StatusOK, string(reply))
+	for time.Since(started) < limit {
+		_, reply = f.administer(http.MethodGet, "/v1/pools/"+pool+"/maintenance", nil)
+		var s struct {
+			State   string
+			Permits []any
+		}
+		if json.Unmarshal(reply, &s) == nil && s.State == "completed" && len(s.Permits) == 0 {
+			return time.Since(started)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.t.Fatalf("the wave did not complete within %s: %s", limit, reply)
+	return 0
+}
+
+func TestRestartsAndWavesCutNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2)
+		defer f.close()
+		l := startLoad(f, 5*time.Millisecond)
+		for i := range f.entries {
+			f.stop(f.entries[i])
+			assert.Assert(t, f.entries[i].isClean, "entry %d cut a request", i)
+			f.startEntry(i)
+			f.awaitReady()
+		}
+		for _, pool := range pools {
+			f.wave(pool, time.Minute)
+		}
+		counts := outcomes(l.finish())
+		t.Log(counts)
+		for outcome, n := range counts {
+			assert.Equal(t, outcome, "ran ", "%d requests", n)
+		}
+		for name, target := range f.targets {
+			assert.Equal(t, target.Cut(), 0, name)
+		}
+		boots := 0
+		for _, o := range f.platform.Orders() {
+			if o.Verb == bwplatform.VerbReboot {
+				boots++
+			}
+		}
+		assert.Equal(t, boots, len(f.targets))
+	})
+}
+
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 1)
+		defer f.close()
+		var times []time.Duration
+		for i := range 40 {
+			if i == 20 {
+				f.store.Faults().Set(bwstandin.Faults{DelayMillis: 200})
+			}
+			accepted := f.put("teams/team", map[string]any{"name": "team", "quotaSlots": 200 + i})
+			times = append(times, f.inForce(accepted))
+		}
+		sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+		t.Log("median", times[len(times)/2], "max", times[len(times)-1])
+		assert.Assert(t, times[len(times)-1] <= 4*time.Second)
+		assert.Assert(t, times[len(times)/2] <= time.Second)
+	})
+}
+
+// inForce waits until every entry works by the revision and returns the time it took.
+func (f *fleet) inForce(revision int64) time.Duration {
+	started := time.Now()
+	for time.Since(started) < 10*time.Second {
+		isEverywhere := true
+		for _, p := range f.up() {
+			isEverywhere = isEverywhere && f.state(p).Revision >= revision
+		}
+		if isEverywhere {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// state is the part of an entry's dump that the proofs look at.
+type state struct {
+	Revision int64
+	Gate     string
+	Services []struct {
+		Service string
+		Targets []struct {
+			Host   string
+			Homed  bool
+			Health string
+		}
+	}
+}
+
+func (f *fleet) state(p *process) state {
+	var s state
+	resp, err := f.client.Get("http://" + p.ip + ":82/debug/state")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	return s
+}
+
+// health returns what the homes say about a host, or "" when no entry sends work to it.
+func (f *fleet) health(host string) string {
+	for _, p := range f.up() {
+		for _, s := range f.state(p).Services {
+			for _, target := range s.Targets {
+				if target.Host == host && target.Homed {
+					return target.Health
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func TestReplacedEntryStartsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.close()
+		revision := f.put("teams/team", map[string]any{"name": "team", "quotaSlots": 321})
+		f.inForce(revision)
+		f.store.Faults().Set(bwstandin.Faults{Refuse: true})
+		f.kill(f.entries[0])
+		p := f.startEntry(0)
+		f.awaitReady()
+		assert.Assert(t, f.state(p).Revision >= revision)
+		r := &told{pool: "alpha", profile: "alpha-reads", payload: "x"}
+		f.ask(context.Background(), p, r, 2*time.Second)
+		assert.Equal(t, r.outcome, "ran", r.reason)
+		r = &told{pool: "alpha", profile: "alpha-counts", payload: "x"}
+		f.ask(context.Background(), p, r, 2*time.Second)
+		assert.Equal(t, r.outcome+" "+r.reason, "notRun storeUnavailable")
+	})
+}
+
+// markLeaving changes a host's roster entry as a controller does, past the API.
+func (f *fleet) markLeaving(host string) {
+	s := f.storeClient("10.0.8.1")
+	defer s.Close()
+	assert.NilError(f.t, editHost(s, host, func(h *bwroster.Host) { h.State = bwroster.State_leaving }))
+}
+
+// lateStarts returns the executions on a host that an entry sent more than the limit
+// after at. A frozen network can deliver what was sent before, so a late start counts by
+// the moment of sending, which the account holds.
+func (f *fleet) lateStarts(host string, at time.Time, limit time.Duration) int {
+	n := 0
+	for _, e := range f.targets[host].Executions() {
+		if e.StartedMillis <= at.Add(limit).UnixMilli() {
+			continue
+		}
+		if f.lastSent(e.RequestID, host) > at.Add(limit).UnixMilli() {
+			n++
+		}
+	}
+	return n
+}
+
+// lastSent returns the last moment at which a request was sent to a host. Without an
+// account it is the end of time.
+func (f *fleet) lastSent(id, host string) int64 {
+	a := f.account(f.ready()[0], id)
+	if a == nil {
+		return math.MaxInt64
+	}
+	last := int64(math.MinInt64)
+	for _, e := range a.GetEvents() {
+		if e.GetKind() == bwaccount.EventKind_sent && e.GetHost() == host {
+			last = max(last, e.GetAtMillis())
+		}
+	}
+	if last == math.MinInt64 {
+		return math.MaxInt64
+	}
+	return last
+}
+
+func TestLeavingHostGetsNoNewWork(t *testing.T) {
+	faults := map[string]func(*fleet){
+		"none":                   func(*fleet) {},
+		"entries lose the store": func(f *fleet) { f.cutStore(0); f.cutStore(1) },
+		"silent store":           func(f *fleet) { f.silenceStore() },
+		"frozen entry":           func(f *fleet) { f.net.Freeze(f.entries[0].ip, true) },
+		"slow store":             func(f *fleet) { f.store.Faults().Set(bwstandin.Faults{DelayMillis: 250}) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3, 1)
+				defer f.close()
+				l := startLoad(f, 5*time.Millisecond)
+				time.Sleep(time.Second)
+				fault(f)
+				time.Sleep(500 * time.Millisecond)
+				f.markLeaving("alpha-1")
+				marked := time.Now()
+				time.Sleep(4 * time.Second)
+				f.net.Freeze(f.entries[0].ip, false)
+				time.Sleep(2 * time.Second)
+				l.finish()
+				assert.Assert(t, len(f.targets["alpha-1"].Executions()) > 0)
+				assert.Equal(t, f.lateStarts("alpha-1", marked, 2*time.Second), 0)
+			})
+		})
+	}
+}
+
+func (f *fleet) cutStore(i int) { f.net.Cut(f.entries[i].ip, bwHost(storeAddress), true) }
+
+// silenceStore makes the open connections of every entry to the store silent for good.
+func (f *fleet) silenceStore() {
+	for _, p := range f.entries {
+		f.net.Silence(p.ip, bwHost(storeAddress))
+	}
+}
+
+func TestPlatformListIsTheFallback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.close()
+		l := startLoad(f, 5*time.Millisecond)
+		f.store.Faults().Set(bwstandin.Faults{Refuse: true})
+		time.Sleep(3 * time.Second)
+		f.platform.SetState("beta-2", bwplatform.HostLeaving)
+		marked := time.Now().Add(platformLag)
+		time.Sleep(5 * time.Second)
+		list := l.finish()
+		assert.Equal(t, f.lateStarts("beta-2", marked, 2*time.Second), 0)
+		ran := 0
+		for _, r := range list {
+			if r.profile == "beta-reads" && r.outcome == "ran" {
+				ran++
+			}
+		}
+		assert.Assert(t, ran > 100, "idempotent work goes on while the store is down")
+	})
+}
+
+func TestBlackHoleIsEjectedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1)
+		defer f.close()
+		l := startLoad(f, 5*time.Millisecond)
+		time.Sleep(time.Second)
+		f.targets["alpha-2"].SetMode(bwstandin.TargetMode{FailAll: true})
+		broken := time.Now()
+		for f.health("alpha-2") != "ejected" && time.Since(broken) < 10*time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+		took := time.Since(broken)
+		t.Log("ejected after", took)
+		assert.Assert(t, took <= 3*time.Second)
+		before := len(f.targets["alpha-2"].Executions())
+		time.Sleep(2500 * time.Millisecond)
+		assert.Assert(t, len(f.targets["alpha-2"].Executions())-before < 10, "a black hole attracts load")
+		f.targets["alpha-2"].SetMode(bwstandin.TargetMode{})
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, f.health("alpha-2"), "healthy")
+		l.finish()
+	})
+}
+
+func TestPoisonEjectsNoHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1)
+		defer f.close()
+		for _, target := range f.targets {
+			target.SetMode(bwstandin.TargetMode{FailPayload: "poison"})
+		}
+		l := startLoad(f, 5*time.Millisecond)
+		for i := range 30 {
+			r := &told{pool: "alpha", profile: "alpha-reads", payload: fmt.Sprintf("poison%d", i)}
+			f.ask(context.Background(), f.entries[i%2], r, 3*time.Second)
+			assert.Equal(t, r.outcome, "ran")
+			assert.Equal(t, r.status, http.StatusInternalServerError)
+			n := f.executions()[r.id]
+			assert.Assert(t, n >= 1 && n <= 3, "%d attempts", n)
+			for _, host := range hostNames() {
+				assert.Equal(t, f.health(host), "healthy", host)
+			}
+		}
+		l.finish()
+	})
+}
+
+func TestStoreRatesAtFullLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 9)
+		defer f.close()
+		l := startLoad(f, time.Millisecond)
+		f.wave("alpha", time.Minute)
+		l.finish()
+		s := f.store.Stats()
+		t.Logf("%+v", s)
+		assert.Assert(t, s.MaxWritesPerSecond <= 200, "writes")
+		assert.Assert(t, s.MaxReadsPerSecond <= 500, "reads")
+	})
+}
+
+// permitsOf returns the permits of a stored pool value.
+func permitsOf(p *bwpool.Pool) map[string]*bwpool.Permit {
+	permits := make(map[string]*bwpool.Permit)
+	for _, permit := range p.GetPermits() {
+		permits[permit.GetId()] = permit
+	}
+	return permits
+}
--- /dev/null
+++ b/bwproof/roster_test.go
@@ -0,0 +1,139 @@
+package bwproof_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwpipe"
+	"basilwood.example/basilwood/bwpool"
+	"basilwood.example/basilwood/bwroster"
+	"basilwood.example/basilwood/bwstore"
+)
+
+func bwHost(address string) string { return bwpipe.HostOf(address) }
+
+// editHost changes a roster entry in the store.
+func editHost(s *bwstore.Client, host string, edit func(*bwroster.Host)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	e, err := s.Get(ctx, bwconfig.RosterKey(host))
+	if err != nil {
+		return err
+	}
+	shard := new(bwroster.Shard)
+	if err := bwcodec.Unmarshal(e.Value(), shard); err != nil {
+		return err
+	}
+	edit(shard.Find(host))
+	value, err := bwcodec.Marshal(shard)
+	if err != nil {
+		return err
+	}
+	r := s.Put(ctx, bwstore.ClassMaintenance, e.Key(), value, e.Revision(), bwstore.NoLease)
+	if r.Status() != bwstore.Written {
+		return fmt.Errorf("write of %s: %s", host, r.Status())
+	}
+	return nil
+}
+
+// decodeValue reads a stored value, envelope included.
+func decodeValue(raw json.RawMessage) (json.RawMessage, error) {
+	var envelope struct {
+		Value json.RawMessage `json:"value"`
+	}
+	err := json.Unmarshal(raw, &envelope)
+	return envelope.Value, err
+}
+
+// audit replays the store's history and returns the first revision that breaks a
+// promise about pools. downSince tells when the test took hosts down.
+func audit(f *fleet, downTimes map[string][]time.Time) string {
+	shards := make(map[string]*bwroster.Shard)
+	poolValues := make(map[string]*bwpool.Pool)
+	for _, change := range f.store.History() {
+		key := change.Message.Key
+		if change.Message.Deleted {
+			continue
+		}
+		value, err := decodeValue(change.Message.Value)
+		if err != nil {
+			return err.Error()
+		}
+		switch {
+		case strings.HasPrefix(key, bwconfig.PrefixRoster):
+			shard := new(bwroster.Shard)
+			if err := bwcodec.Unmarshal(value, shard); err != nil {
+				return err.Error()
+			}
+			shards[key] = shard
+			if broken := auditRoster(shards); broken != "" {
+				return fmt.Sprintf("revision %d: %s", change.Message.Revision, broken)
+			}
+		case strings.HasPrefix(key, bwconfig.PrefixPools):
+			p := new(bwpool.Pool)
+			if err := bwcodec.Unmarshal(value, p); err != nil {
+				return err.Error()
+			}
+			if broken := auditPool(poolValues[key], p, change.At, downTimes); broken != "" {
+				return fmt.Sprintf("revision %d: %s", change.Message.Revision, broken)
+			}
+			poolValues[key] = p
+		}
+	}
+	return ""
+}
+
+// auditRoster checks that each host stands in one shard.
+func auditRoster(shards map[string]*bwroster.Shard) string {
+	seen := make(map[string]string)
+	for key, shard := range shards {
+		for _, h := range shard.GetHosts() {
+			if other, ok := seen[h.GetName()]; ok {
+				return fmt.Sprintf("host %s stands in %s and %s", h.GetName(), other, key)
+			}
+			seen[h.GetName()] = key
+		}
+	}
+	return ""
+}
+
+// auditPool checks that a new permit fits into the budget. A host that was down lately
+// costs nothing.
+func auditPool(old, p *bwpool.Pool, at time.Time, downTimes map[string][]time.Time) string {
+	before := permitsOf(old)
+	charged := 0
+	for _, permit := range p.GetPermits() {
+		if !wasDown(downTimes[permit.GetHost()], time.UnixMilli(permit.GetGrantedMillis())) {
+			charged++
+		}
+	}
+	isNew := false
+	for _, permit := range p.GetPermits() {
+		isNew = isNew || before[permit.GetId()] == nil
+	}
+	if isNew && charged > int(p.GetMaxUnavailable()) {
+		return fmt.Sprintf("pool %s has %d permits on hosts that were up, budget %d", p.GetName(), charged, p.GetMaxUnavailable())
+	}
+	return ""
+}
+
+// listMaxAge bounds how old the host list is that a permit was granted by.
+const listMaxAge = 7 * time.Second
+
+func wasDown(times []time.Time, at time.Time) bool {
+	for i := 0; i < len(times); i += 2 {
+		end := at
+		if i+1 < len(times) {
+			end = times[i+1].Add(listMaxAge)
+		}
+		if !at.Before(times[i]) && !at.After(end) {
+			return true
+		}
+	}
+	return false
+}
--- a/bwroute/table.go
+++ b/bwroute/table.go
@@ -22,6 +22,9 @@
 // remotePenalty is the load that a candidate in another data centre counts on top.
 const remotePenalty = 0.1
 
+// retryAfter is announced when every home is without a target in service.
+const retryAfter = time.Second
+
 // Policy is a rule for the choice of a home.
 type Policy int
 
@@ -149,6 +152,10 @@
 
 // accepts reports whether the candidate's announced wait leaves time for the request.
 func (c Candidate) accepts(q Query) (time.Duration, bool) {
+	if l := c.member.Load(q.Service); l != nil && l.GetSlots() == 0 {
+		// Its targets are out of service; q may come back when they are on trial.
+		return retryAfter, false
+	}
 	for _, p := range c.member.Load(q.Service).GetProfiles() {
 		if p.GetProfile() == q.Profile {
 			wait := time.Duration(p.GetWaitMillis()) * time.Millisecond
--- a/bwstandin/store.go
+++ b/bwstandin/store.go
@@ -26,7 +26,7 @@
 	mu       sync.Mutex
 	keys     map[string]storedKey
 	leases   map[string]*storedLease
-	history  []bwstore.KeyMessage
+	history  []Change
 	dropped  int64
 	revision int64
 	changed  chan struct{}
@@ -46,6 +46,12 @@
 	ends time.Time
 }
 
+// Change is one change of a key and its moment.
+type Change struct {
+	Message bwstore.KeyMessage
+	At      time.Time
+}
+
 // StoreStats counts the calls that the store served.
 type StoreStats struct {
 	Reads               int `json:"reads"`
@@ -91,10 +97,10 @@
 }
 
 // History returns every change in revision order, for oracles.
-func (s *Store) History() []bwstore.KeyMessage {
+func (s *Store) History() []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]bwstore.KeyMessage(nil), s.history...)
+	return append([]Change(nil), s.history...)
 }
 
 func (s *Store) serveStats(w http.ResponseWriter, _ *http.Request) {
@@ -151,11 +157,11 @@
 	} else {
 		s.keys[m.Key] = storedKey{message: m, lease: lease}
 	}
-	s.history = append(s.history, m)
+	s.history = append(s.history, Change{Message: m, At: time.Now()})
 	if len(s.history) > maxHistory {
 		half := maxHistory / 2
-		s.dropped = s.history[half-1].Revision
-		s.history = append([]bwstore.KeyMessage(nil), s.history[half:]...)
+		s.dropped = s.history[half-1].Message.Revision
+		s.history = append([]Change(nil), s.history[half:]...)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -281,10 +287,10 @@
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	m := bwstore.ListMessage{Revision: s.revision, Compacted: after < s.dropped}
-	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].Message.Revision > after })
 	for _, change := range s.history[start:] {
-		if hasAnyPrefix(change.Key, prefixes) {
-			m.Entries = append(m.Entries, change)
+		if hasAnyPrefix(change.Message.Key, prefixes) {
+			m.Entries = append(m.Entries, change.Message)
 		}
 	}
 	return m, s.changed
--- a/bwtarget/health.go
+++ b/bwtarget/health.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// ejectAfter is the number of different requests that must fail in a row.
-	ejectAfter = 4
+	// suspicion is the weight of a failure without a second opinion.
+	suspicion = 1
+	// conviction is the weight of a failure whose request another target served.
+	conviction = 4
+	// ejectWeight is the weight of failures in a row at which a target is ejected.
+	ejectWeight = 12
 	// probation is how long an ejected target gets no requests before the first trial.
 	probation = 3 * time.Second
 	// maxProbation bounds the doubling of the probation.
@@ -41,14 +45,21 @@
 
 // Health follows one target's failures. The zero value is healthy.
 //
-// Only failures of different requests in a row count, so that one request that can
-// never run does not eject the targets that it visits.
+// Only failures of different requests in a row count. A failure weighs more once the
+// same request has succeeded on another target, and nothing once it has failed there as
+// well, so that requests that can never run do not eject the targets that they visit.
 type Health struct {
-	failed    []string
+	failed    []failure
 	ejectedAt bwclock.Time
 	wait      time.Duration
 }
 
+// failure is one request that failed, with its weight.
+type failure struct {
+	requestID string
+	weight    int
+}
+
 // State returns the health at the moment now.
 func (h *Health) State(now bwclock.Time) HealthState {
 	if h.ejectedAt == bwclock.Never {
@@ -74,19 +85,38 @@
 	if h.State(now) == OnTrial {
 		return true
 	}
-	for _, id := range h.failed {
-		if id == requestID {
+	for _, f := range h.failed {
+		if f.requestID == requestID {
 			return false
 		}
 	}
-	h.failed = append(h.failed, requestID)
-	return h.ejectedAt == bwclock.Never && len(h.failed) >= ejectAfter
+	h.failed = append(h.failed, failure{requestID: requestID, weight: suspicion})
+	return h.isGuilty()
+}
+
+// Convict records that another target served a request that failed here. It reports
+// whether the target should be ejected now.
+func (h *Health) Convict(requestID string) bool {
+	for i := range h.failed {
+		if h.failed[i].requestID == requestID {
+			h.failed[i].weight = conviction
+		}
+	}
+	return h.isGuilty()
+}
+
+func (h *Health) isGuilty() bool {
+	weight := 0
+	for _, f := range h.failed {
+		weight += f.weight
+	}
+	return h.ejectedAt == bwclock.Never && weight >= ejectWeight
 }
 
 // Forgive takes back the failures of a request that fails on every target.
 func (h *Health) Forgive(requestID string) {
-	for i, id := range h.failed {
-		if id == requestID {
+	for i, f := range h.failed {
+		if f.requestID == requestID {
 			h.failed = append(h.failed[:i], h.failed[i+1:]...)
 			return
 		}
@@ -99,6 +129,3 @@
 	h.ejectedAt = now
 	h.failed = h.failed[:0]
 }
-
-// FailureCount returns the number of different requests that failed in a row.
-func (h *Health) FailureCount() int { return len(h.failed) }
