bwpool: permits count until released; operations machine

TestOperationsMachine runs moves, waves, racing operators, killed, cut and frozen controllers, store and platform faults and failing hosts, then audits the store's history. It found three faults, each a broken budget or a wave without end:

A host reported down got a permit for free; the report was old and the pool lost two serving hosts (revision 54, budget 1). A down host now counts like any other. 2. The permit of a host that had moved on was not counted, because the count went over the pool's present hosts. Every permit counts until released. 3. A wave in the new pool granted a permit to a host whose move still had to mark it active; the two permits overwrote each other's mark and the drain waited for ever. Joining hosts get no permit, and draining renews the mark.

Ruled out for 3: a stale revision at the entry (both entries worked by the newest revision).

--- a/bwcontroller/reconcile.go
+++ b/bwcontroller/reconcile.go
@@ -96,7 +96,11 @@
 	for _, h := range hosts {
 		r, ok := c.report(h.GetName())
 		isDown := !ok || r.State != bwplatform.HostLive || !r.Running || h.GetState() == bwroster.State_leaving
-		views = append(views, bwpool.NewHostView(h.GetName(), h.GetRack(), h.GetDataCentre(), isDown))
+		view := bwpool.NewHostView(h.GetName(), h.GetRack(), h.GetDataCentre(), isDown)
+		if h.GetState() == bwroster.State_joining {
+			view = view.Joining()
+		}
+		views = append(views, view)
 	}
 	return views
 }
--- a/bwpool/pool.go
+++ b/bwpool/pool.go
@@ -21,6 +21,7 @@
 	rack       string
 	dataCentre string
 	isDown     bool
+	isJoining  bool
 }
 
 // NewHostView returns a view of a host; isDown says that it does not serve.
@@ -28,6 +29,12 @@
 	return HostView{name: name, rack: rack, dataCentre: dataCentre, isDown: isDown}
 }
 
+// Joining returns the view of a host whose move into the pool has not ended.
+func (h HostView) Joining() HostView {
+	h.isJoining = true
+	return h
+}
+
 // Name returns the host's name.
 func (h HostView) Name() string { return h.name }
 
@@ -46,6 +53,7 @@
 	DataCentreLimit
 	AlreadyPermitted
 	NotInPool
+	StillJoining
 )
 
 // String returns the refusal in plain words.
@@ -61,6 +69,8 @@
 		return "the limit for the data centre is reached"
 	case AlreadyPermitted:
 		return "the host already has a permit"
+	case StillJoining:
+		return "the host's move into the pool has not ended"
 	}
 	return "the host is not in the pool"
 }
@@ -76,7 +86,9 @@
 // Total returns the number of hosts out of service or permitted to be.
 func (u Usage) Total() int { return u.total }
 
-// UsageOf counts each host of the pool that is down or holds a permit, once.
+// UsageOf counts each host that is down or holds a permit, once. A permit counts until
+// it is released, also when its host has moved to another pool by then or is not known
+// to the reader yet.
 func UsageOf(p *Pool, hosts []HostView) Usage {
 	u := Usage{byRack: make(map[string]int), byDataCentre: make(map[string]int), unavailable: make(map[string]bool)}
 	permitted := make(map[string]bool)
@@ -84,19 +96,29 @@
 		permitted[permit.GetHost()] = true
 	}
 	for _, h := range hosts {
-		if !h.isDown && !permitted[h.name] {
-			continue
+		if h.isDown || permitted[h.name] {
+			u.add(h)
+		}
+	}
+	for host := range permitted {
+		if !u.unavailable[host] {
+			u.add(HostView{name: host})
 		}
-		u.unavailable[h.name] = true
-		u.total++
-		u.byRack[h.rack]++
-		u.byDataCentre[h.dataCentre]++
 	}
 	return u
 }
 
-// Check decides whether host may be taken out of service. A host that is already down
-// costs nothing more, so it needs no room in the budget.
+// add counts one more host.
+func (u *Usage) add(h HostView) {
+	u.unavailable[h.name] = true
+	u.total++
+	u.byRack[h.rack]++
+	u.byDataCentre[h.dataCentre]++
+}
+
+// Check decides whether host may be taken out of service. A host that is down already
+// counts once, not twice. It is not free: the report that it is down may be old, and the
+// permit would then take a serving host.
 func Check(p *Pool, hosts []HostView, host string) Refusal {
 	if p.FindPermit(host) != nil {
 		return AlreadyPermitted
@@ -105,16 +127,20 @@
 	if !ok {
 		return NotInPool
 	}
+	if view.isJoining {
+		// The permit of the move still acts on the host.
+		return StillJoining
+	}
 	u := UsageOf(p, hosts)
-	if u.unavailable[host] {
-		return Allowed
+	if !u.unavailable[host] {
+		u.add(view)
 	}
 	switch {
-	case u.total >= int(p.GetMaxUnavailable()):
+	case u.total > int(p.GetMaxUnavailable()):
 		return BudgetSpent
-	case isReached(u.byRack[view.rack], p.GetMaxUnavailablePerRack()):
+	case isExceeded(u.byRack[view.rack], p.GetMaxUnavailablePerRack()):
 		return RackLimit
-	case isReached(u.byDataCentre[view.dataCentre], p.GetMaxUnavailablePerDataCentre()):
+	case isExceeded(u.byDataCentre[view.dataCentre], p.GetMaxUnavailablePerDataCentre()):
 		return DataCentreLimit
 	}
 	return Allowed
@@ -129,9 +155,9 @@
 	return HostView{}, false
 }
 
-// isReached compares a count with a limit; a limit of 0 is no limit.
-func isReached(count int, limit int32) bool {
-	return limit > 0 && count >= int(limit)
+// isExceeded compares a count with a limit; a limit of 0 is no limit.
+func isExceeded(count int, limit int32) bool {
+	return limit > 0 && count > int(limit)
 }
 
 // FindPermit returns the permit of the host, or nil.
--- a/bwpool/step.go
+++ b/bwpool/step.go
@@ -127,6 +127,9 @@
 // nextDraining waits until no entry can send work any more before the platform closes
 // the executor, so that the drain refuses as few requests as possible.
 func nextDraining(f Facts) Decision {
+	if f.state() != bwroster.State_leaving {
+		return act(ActMarkLeaving)
+	}
 	if !f.PlatformKnown {
 		return waitFor("the platform does not answer")
 	}
--- /dev/null
+++ b/bwproof/operations_test.go
@@ -0,0 +1,348 @@
+package bwproof_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwcontroller"
+	"basilwood.example/basilwood/bwplatform"
+	"basilwood.example/basilwood/bwroster"
+	"basilwood.example/basilwood/bwstandin"
+	"pgregory.net/rapid"
+)
+
+// The commands of an operations session.
+const (
+	opMove = iota
+	opWave
+	opPause
+	opCancel
+	opRace
+	opKillController
+	opRestartController
+	opCutController
+	opFreezeController
+	opStoreFault
+	opPlatformFault
+	opHostDown
+	opHostUp
+	opKillEntry
+	opHeal
+	opWait
+	opCount
+)
+
+var opNames = [...]string{
+	"move", "wave", "pause", "cancel", "race", "killController", "restartController", "cutController",
+	"freezeController", "storeFault", "platformFault", "hostDown", "hostUp", "killEntry", "heal", "wait",
+}
+
+type operation struct {
+	kind  int
+	a, b  int
+	pause time.Duration
+}
+
+// String describes the operation for failure reports.
+func (o operation) String() string {
+	return fmt.Sprintf("%s(%d,%d)+%s", opNames[o.kind], o.a, o.b, o.pause)
+}
+
+func operations() *rapid.Generator[[]operation] {
+	one := rapid.Custom(func(t *rapid.T) operation {
+		return operation{
+			kind:  rapid.IntRange(0, opCount-1).Draw(t, "kind"),
+			a:     rapid.IntRange(0, 7).Draw(t, "a"),
+			b:     rapid.IntRange(0, 7).Draw(t, "b"),
+			pause: time.Duration(rapid.SampledFrom([]int{0, 50, 200, 500, 1500}).Draw(t, "pause")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 5, 40)
+}
+
+// operators runs operations against a fleet and keeps what was accepted.
+type operators struct {
+	fleet    *fleet
+	group    sync.WaitGroup
+	down     map[string][]time.Time
+	mu       sync.Mutex
+	accepted map[int64]float64
+	quota    int
+}
+
+// runOperations carries out the operations under load, heals everything, waits for the
+// end of all moves and waves, and returns the first broken promise.
+func runOperations(t *testing.T, list []operation) string {
+	broken := ""
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 3)
+		defer f.close()
+		startLoad(f, 25*time.Millisecond)
+		o := &operators{fleet: f, down: make(map[string][]time.Time), accepted: make(map[int64]float64), quota: 100}
+		for _, op := range list {
+			o.do(op)
+			time.Sleep(op.pause)
+		}
+		o.heal()
+		o.group.Wait()
+		broken = o.judge()
+	})
+	return broken
+}
+
+func (o *operators) do(op operation) {
+	f := o.fleet
+	host := hostNames()[op.a%8]
+	pool := pools[op.a%2]
+	switch op.kind {
+	case opMove:
+		body, _ := json.Marshal(bwcontroller.MoveRequest{ToPool: pools[op.b%2]})
+		o.async(http.MethodPost, "/v1/hosts/"+host+"/move", body)
+	case opWave:
+		o.async(http.MethodPost, "/v1/pools/"+pool+"/maintenance/start", nil)
+	case opPause:
+		o.async(http.MethodPost, "/v1/pools/"+pool+"/maintenance/pause", nil)
+		o.async(http.MethodPost, "/v1/pools/"+pool+"/maintenance/resume", nil)
+	case opCancel:
+		o.async(http.MethodPost, "/v1/pools/"+pool+"/maintenance/cancel", nil)
+	case opRace:
+		o.race()
+	case opStoreFault:
+		f.store.Faults().Set(storeFaults[op.b%len(storeFaults)])
+	case opPlatformFault:
+		f.platform.Faults().Set(storeFaults[op.b%len(storeFaults)])
+	case opHostDown, opHostUp:
+		o.setDown(host, op.kind == opHostDown)
+	case opHeal:
+		o.heal()
+	case opWait:
+		time.Sleep(time.Duration(op.a) * time.Second)
+	default:
+		o.disturb(op)
+	}
+}
+
+// disturb acts on controllers and entries.
+func (o *operators) disturb(op operation) {
+	f := o.fleet
+	c := f.controllers[op.a%len(f.controllers)]
+	switch op.kind {
+	case opKillController:
+		if c.isUp {
+			f.kill(c)
+		}
+	case opRestartController:
+		if !c.isUp {
+			f.startController(c.id)
+		}
+	case opCutController:
+		f.net.Cut(c.ip, bwHost([]string{storeAddress, platformAddress}[op.b%2]), true)
+	case opFreezeController:
+		f.net.Freeze(c.ip, true)
+		o.group.Go(func() {
+			time.Sleep(time.Duration(1+op.b) * time.Second)
+			f.net.Freeze(c.ip, false)
+		})
+	case opKillEntry:
+		e := f.entries[op.a%len(f.entries)]
+		if e.isUp && len(f.ready()) > 1 {
+			f.kill(e)
+		} else if !e.isUp {
+			f.startEntry(e.id)
+		}
+	}
+}
+
+// async calls a controller without waiting for the reply.
+func (o *operators) async(method, path string, body []byte) {
+	o.group.Go(func() { o.fleet.administer(method, path, body) })
+}
+
+// race lets two operators set the same value from the same revision.
+func (o *operators) race() {
+	status, reply := o.fleet.administer(http.MethodGet, "/v1/teams/team", nil)
+	var item bwcontroller.Item
+	if status != http.StatusOK || json.Unmarshal(reply, &item) != nil {
+		return
+	}
+	for range 2 {
+		o.quota++
+		quota := float64(o.quota)
+		body, _ := json.Marshal(map[string]any{"name": "team", "quotaSlots": quota})
+		o.group.Go(func() {
+			path := fmt.Sprintf("/v1/teams/team?expectedRevision=%d", item.Revision)
+			status, reply := o.fleet.administer(http.MethodPut, path, body)
+			var done bwcontroller.Item
+			if status == http.StatusOK && json.Unmarshal(reply, &done) == nil {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				o.accepted[done.Revision] = quota
+			}
+		})
+	}
+}
+
+func (o *operators) setDown(host string, isDown bool) {
+	times := o.down[host]
+	if isDown == (len(times)%2 == 1) {
+		return
+	}
+	o.down[host] = append(times, time.Now())
+	state := bwplatform.HostLive
+	if isDown {
+		state = bwplatform.HostDown
+	}
+	o.fleet.platform.SetState(host, state)
+}
+
+func (o *operators) heal() {
+	f := o.fleet
+	f.store.Faults().Set(bwstandin.Faults{})
+	f.platform.Faults().Set(bwstandin.Faults{})
+	f.net.HealCuts()
+	for _, host := range hostNames() {
+		o.setDown(host, false)
+	}
+	for _, p := range f.controllers {
+		if !p.isUp {
+			f.startController(p.id)
+		}
+	}
+	for _, p := range f.entries {
+		if !p.isUp {
+			f.startEntry(p.id)
+		}
+	}
+	f.awaitReady()
+}
+
+// judge waits for the end of all moves and waves and checks every promise.
+func (o *operators) judge() string {
+	f := o.fleet
+	if waiting := o.awaitQuiet(2 * time.Minute); waiting != "" {
+		return "not finished after two minutes without faults: " + waiting
+	}
+	if broken := audit(f); broken != "" {
+		return broken
+	}
+	if broken := o.judgeAccepted(); broken != "" {
+		return broken
+	}
+	for name, target := range f.targets {
+		if target.Cut() > 0 && len(o.down[name]) == 0 {
+			return fmt.Sprintf("host %s: %d requests were cut", name, target.Cut())
+		}
+	}
+	return judgeLeaving(f)
+}
+
+// awaitQuiet waits until no permit is left and no wave runs, and names what is left.
+func (o *operators) awaitQuiet(limit time.Duration) string {
+	left := ""
+	for started := time.Now(); time.Since(started) < limit; time.Sleep(500 * time.Millisecond) {
+		left = ""
+		for _, pool := range pools {
+			status, reply := o.fleet.administer(http.MethodGet, "/v1/pools/"+pool+"/maintenance", nil)
+			var m bwcontroller.MaintenanceStatus
+			if status != http.StatusOK || json.Unmarshal(reply, &m) != nil {
+				left = "no status"
+				continue
+			}
+			if m.State == "running" || m.State == "paused" || len(m.Permits) > 0 {
+				left += fmt.Sprintf("%+v ", m)
+			}
+			if m.State == "paused" {
+				o.fleet.administer(http.MethodPost, "/v1/pools/"+pool+"/maintenance/resume", nil)
+			}
+		}
+		if left == "" {
+			return ""
+		}
+	}
+	return left
+}
+
+// judgeAccepted checks that each accepted change stands in the history as it was
+// accepted, and that the entries work by the last one.
+func (o *operators) judgeAccepted() string {
+	last, lastRevision := 100.0, int64(0)
+	for _, change := range o.fleet.store.History() {
+		if change.Message.Key != bwconfig.TeamKey("team") {
+			continue
+		}
+		value, err := decodeValue(change.Message.Value)
+		var team struct{ QuotaSlots float64 }
+		if err != nil || json.Unmarshal(value, &team) != nil {
+			return "unreadable team"
+		}
+		if quota, ok := o.accepted[change.Message.Revision]; ok && quota != team.QuotaSlots {
+			return fmt.Sprintf("revision %d was accepted as %v and holds %v", change.Message.Revision, quota, team.QuotaSlots)
+		}
+		last, lastRevision = team.QuotaSlots, change.Message.Revision
+	}
+	for revision := range o.accepted {
+		if revision > lastRevision {
+			return fmt.Sprintf("revision %d was accepted and is not in the history (last is %v)", revision, last)
+		}
+	}
+	if took := o.fleet.inForce(lastRevision); took > 4*time.Second {
+		return fmt.Sprintf("revision %d is not in force after %s", lastRevision, took)
+	}
+	return ""
+}
+
+// judgeLeaving checks that no entry sent work to a host more than 2 s after it could
+// read that the host leaves.
+func judgeLeaving(f *fleet) string {
+	leavingSince := make(map[string]time.Time)
+	for _, change := range f.store.History() {
+		hosts, err := hostsOf(change)
+		if err != nil {
+			return err.Error()
+		}
+		for _, h := range hosts {
+			since, isLeaving := leavingSince[h.GetName()]
+			switch {
+			case h.GetState() != bwroster.State_active && !isLeaving:
+				leavingSince[h.GetName()] = change.At
+			case h.GetState() == bwroster.State_active && isLeaving:
+				delete(leavingSince, h.GetName())
+				if n := f.startsBetween(h.GetName(), since.Add(2*time.Second), change.At); n > 0 {
+					return fmt.Sprintf("host %s was leaving since %s and got %d requests", h.GetName(), since, n)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func hostsOf(change bwstandin.Change) ([]*bwroster.Host, error) {
+	shard, err := shardOf(change)
+	return shard.GetHosts(), err
+}
+
+// startsBetween counts the executions of a host within a time.
+func (f *fleet) startsBetween(host string, from, to time.Time) int {
+	n := 0
+	for _, e := range f.targets[host].Executions() {
+		if e.StartedMillis > from.UnixMilli() && e.StartedMillis < to.UnixMilli() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOperationsMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		list := operations().Draw(rt, "operations")
+		if broken := runOperations(t, list); broken != "" {
+			rt.Fatalf("%s", broken)
+		}
+	})
+}
--- a/bwproof/promises_test.go
+++ b/bwproof/promises_test.go
@@ -14,7 +14,6 @@
 
 	"basilwood.example/basilwood/bwaccount"
 	"basilwood.example/basilwood/bwplatform"
-	"basilwood.example/basilwood/bwpool"
 	"basilwood.example/basilwood/bwroster"
 	"basilwood.example/basilwood/bwstandin"
 	"gotest.tools/v3/assert"
@@ -398,12 +397,3 @@
 		assert.Assert(t, s.MaxReadsPerSecond <= 500, "reads")
 	})
 }
-
-// permitsOf returns the permits of a stored pool value.
-func permitsOf(p *bwpool.Pool) map[string]*bwpool.Permit {
-	permits := make(map[string]*bwpool.Permit)
-	for _, permit := range p.GetPermits() {
-		permits[permit.GetId()] = permit
-	}
-	return permits
-}
--- a/bwproof/roster_test.go
+++ b/bwproof/roster_test.go
@@ -12,6 +12,7 @@
 	"basilwood.example/basilwood/bwpipe"
 	"basilwood.example/basilwood/bwpool"
 	"basilwood.example/basilwood/bwroster"
+	"basilwood.example/basilwood/bwstandin"
 	"basilwood.example/basilwood/bwstore"
 )
 
@@ -50,9 +51,18 @@
 	return envelope.Value, err
 }
 
+// permitsOf returns the permits of a stored pool value.
+func permitsOf(p *bwpool.Pool) map[string]*bwpool.Permit {
+	permits := make(map[string]*bwpool.Permit)
+	for _, permit := range p.GetPermits() {
+		permits[permit.GetId()] = permit
+	}
+	return permits
+}
+
 // audit replays the store's history and returns the first revision that breaks a
-// promise about pools. downSince tells when the test took hosts down.
-func audit(f *fleet, downTimes map[string][]time.Time) string {
+// promise about pools.
+func audit(f *fleet) string {
 	shards := make(map[string]*bwroster.Shard)
 	poolValues := make(map[string]*bwpool.Pool)
 	for _, change := range f.store.History() {
@@ -79,7 +89,7 @@
 			if err := bwcodec.Unmarshal(value, p); err != nil {
 				return err.Error()
 			}
-			if broken := auditPool(poolValues[key], p, change.At, downTimes); broken != "" {
+			if broken := auditPool(poolValues[key], p); broken != "" {
 				return fmt.Sprintf("revision %d: %s", change.Message.Revision, broken)
 			}
 			poolValues[key] = p
@@ -102,38 +112,26 @@
 	return ""
 }
 
-// auditPool checks that a new permit fits into the budget. A host that was down lately
-// costs nothing.
-func auditPool(old, p *bwpool.Pool, at time.Time, downTimes map[string][]time.Time) string {
+// auditPool checks that a new permit fits into the budget.
+func auditPool(old, p *bwpool.Pool) string {
 	before := permitsOf(old)
-	charged := 0
 	for _, permit := range p.GetPermits() {
-		if !wasDown(downTimes[permit.GetHost()], time.UnixMilli(permit.GetGrantedMillis())) {
-			charged++
+		if before[permit.GetId()] == nil && len(p.GetPermits()) > int(p.GetMaxUnavailable()) {
+			return fmt.Sprintf("pool %s has %d permits, budget %d", p.GetName(), len(p.GetPermits()), p.GetMaxUnavailable())
 		}
 	}
-	isNew := false
-	for _, permit := range p.GetPermits() {
-		isNew = isNew || before[permit.GetId()] == nil
-	}
-	if isNew && charged > int(p.GetMaxUnavailable()) {
-		return fmt.Sprintf("pool %s has %d permits on hosts that were up, budget %d", p.GetName(), charged, p.GetMaxUnavailable())
-	}
 	return ""
 }
 
-// listMaxAge bounds how old the host list is that a permit was granted by.
-const listMaxAge = 7 * time.Second
-
-func wasDown(times []time.Time, at time.Time) bool {
-	for i := 0; i < len(times); i += 2 {
-		end := at
-		if i+1 < len(times) {
-			end = times[i+1].Add(listMaxAge)
-		}
-		if !at.Before(times[i]) && !at.After(end) {
-			return true
-		}
+// shardOf returns the roster shard that a change holds, or nil for another key.
+func shardOf(change bwstandin.Change) (*bwroster.Shard, error) {
+	if change.Message.Deleted || !strings.HasPrefix(change.Message.Key, bwconfig.PrefixRoster) {
+		return nil, nil
 	}
-	return false
+	value, err := decodeValue(change.Message.Value)
+	if err != nil {
+		return nil, err
+	}
+	shard := new(bwroster.Shard)
+	return shard, bwcodec.Unmarshal(value, shard)
 }
