--- a/bwconfig/replica.go
+++ b/bwconfig/replica.go
@@ -20,9 +20,11 @@
 	mu       sync.Mutex
 	items    map[string]*item
 	revision int64
-	loaded   bool
-	invalid  int
-	current  atomic.Pointer[Version]
+	// completeFrom is the revision since which every deletion is known.
+	completeFrom int64
+	loaded       bool
+	invalid      int
+	current      atomic.Pointer[Version]
 }
 
 // item is one key with its decoded value; a deleted key keeps its revision.
@@ -58,17 +60,28 @@
 func (r *Replica) ApplyListing(entries []bwstore.Entry, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.applyListing(entries, revision)
+}
+
+// applyListing applies a whole copy; the caller holds the lock. Keys that came and went
+// before the copy are not in it, so deletions are known from its revision on.
+func (r *Replica) applyListing(entries []bwstore.Entry, revision int64) {
+	if r.loaded && revision <= r.revision {
+		return
+	}
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key()] = true
 	}
+	changes := append([]bwstore.Entry(nil), entries...)
 	for key, it := range r.items {
 		if !present[key] && !it.entry.IsDeleted() && it.entry.Revision() <= revision {
-			r.applyEntry(bwstore.NewDeletion(key, revision))
+			changes = append(changes, bwstore.NewDeletion(key, revision))
 		}
 	}
 	r.loaded = true
-	r.apply(entries, revision)
+	r.completeFrom = max(r.completeFrom, revision)
+	r.apply(changes, revision)
 }
 
 // ApplyChanges applies changes that are complete up to revision and start no later
@@ -83,7 +96,11 @@
 func (r *Replica) apply(entries []bwstore.Entry, revision int64) {
 	changed := false
 	for _, e := range entries {
-		changed = r.applyEntry(e) || changed
+		// The replica is complete up to its revision: an older entry is a late reply, and
+		// its key may have been deleted since.
+		if e.Revision() > r.revision {
+			changed = r.applyEntry(e) || changed
+		}
 	}
 	if revision > r.revision {
 		r.revision = revision
@@ -204,16 +221,20 @@
 }
 
 // ItemsAfter returns the keys changed after revision for a peer, with the revision up
-// to which they are complete. An unloaded replica returns nothing and revision 0.
+// to which they are complete, or the whole copy when not every deletion since then is
+// known. An unloaded replica returns nothing and revision 0.
 func (r *Replica) ItemsAfter(revision int64) *bwpeer.PullReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.loaded {
 		return &bwpeer.PullReply{}
 	}
-	reply := &bwpeer.PullReply{Revision: r.revision}
+	reply := &bwpeer.PullReply{Revision: r.revision, Full: revision < r.completeFrom}
 	for _, it := range r.items {
-		if it.entry.Revision() > revision {
+		if reply.Full && it.entry.IsDeleted() {
+			continue
+		}
+		if reply.Full || it.entry.Revision() > revision {
 			reply.Items = append(reply.Items, &bwpeer.Item{
 				Key:      it.entry.Key(),
 				Value:    it.entry.Value(),
@@ -240,6 +261,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if reply.GetFull() {
+		r.applyListing(entries, reply.GetRevision())
+		return
+	}
 	if after > r.revision {
 		return
 	}
--- a/bwcontroller/administration.go
+++ b/bwcontroller/administration.go
@@ -30,7 +30,7 @@
 // Item is the JSON form of one configuration value.
 type Item struct {
 	Revision int64           `json:"revision"`
-	Value    json.RawMessage `json:"value"`
+	Value    json.RawMessage `json:"value,omitempty"`
 }
 
 // ItemList is the JSON reply to a list.
--- a/bwentry/callers.go
+++ b/bwentry/callers.go
@@ -65,6 +65,7 @@
 	w.Header().Set(HeaderRequestID, id)
 	request, refusal, message := e.parse(r, id)
 	if refusal != nil {
+		e.refuse(request, refusal)
 		e.writeProblem(w, request, refusal, message)
 		return
 	}
--- a/bwentry/operations.go
+++ b/bwentry/operations.go
@@ -58,6 +58,12 @@
 	m.seconds.WithLabelValues(r.GetProfile()).Observe(took.Seconds())
 }
 
+// countRefusal counts a request that was refused by its form. Its profile may be any
+// text, so it is not used as a label.
+func (m *metrics) countRefusal(o *bwoutcome.Outcome) {
+	m.requests.WithLabelValues("", o.GetKind().String(), o.GetReason().String()).Inc()
+}
+
 // operationRoutes returns the operators' interface of the process.
 func (e *Entry) operationRoutes() http.Handler {
 	r := mux.NewRouter()
--- a/bwentry/receiver.go
+++ b/bwentry/receiver.go
@@ -39,6 +39,13 @@
 	return o
 }
 
+// refuse keeps the account of a request that was not even tried.
+func (e *Entry) refuse(r *bwpeer.SubmitRequest, o *bwoutcome.Outcome) {
+	e.openAccount(r, e.clock.Now())
+	e.book.Close(r.GetRequestId(), o, true)
+	e.metrics.countRefusal(o)
+}
+
 func (e *Entry) openAccount(r *bwpeer.SubmitRequest, now bwclock.Time) {
 	e.book.Open(&bwaccount.Account{
 		RequestId:      r.GetRequestId(),
--- a/bwload/check.go
+++ b/bwload/check.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 
 	"basilwood.example/basilwood/bwaccount"
@@ -21,16 +22,20 @@
 	accounts      int
 	executions    int
 	unknown       int
+	missing       int
 	disagreements []string
 }
 
 // Disagreements returns every contradiction, in plain words.
 func (f *Finding) Disagreements() []string { return f.disagreements }
 
+// Missing returns the number of replies without an account.
+func (f *Finding) Missing() int { return f.missing }
+
 // String sums the check up.
 func (f *Finding) String() string {
-	return fmt.Sprintf("checked %d replies, %d accounts and %d executions: %d unknown, %d disagreements",
-		f.replies, f.accounts, f.executions, f.unknown, len(f.disagreements))
+	return fmt.Sprintf("checked %d replies, %d accounts and %d executions: %d unknown, %d without an account, %d disagreements",
+		f.replies, f.accounts, f.executions, f.unknown, f.missing, len(f.disagreements))
 }
 
 func (f *Finding) disagree(format string, args ...any) {
@@ -71,7 +76,7 @@
 		byRequest[e.RequestID]++
 	}
 	f.checkReplies(replies, byRequest)
-	f.checkKeys(replies, byRequest)
+	f.checkKeys(replies, executions)
 	accounts := readAccounts(ctx, entries, replies)
 	f.accounts = len(accounts)
 	f.checkAccounts(replies, accounts, byRequest)
@@ -96,16 +101,17 @@
 }
 
 // checkKeys counts the executions of each idempotency key.
-func (f *Finding) checkKeys(replies []Reply, byRequest map[string]int) {
+func (f *Finding) checkKeys(replies []Reply, executions []bwstandin.Execution) {
 	byKey := make(map[string]int)
-	for _, r := range replies {
-		if r.key != "" {
-			byKey[r.key] += byRequest[r.requestID]
-		}
+	for _, e := range executions {
+		key, _, _ := strings.Cut(e.Payload, keyEnd)
+		byKey[key]++
 	}
-	for key, n := range byKey {
-		if n > 1 {
-			f.disagree("key %s: executed %d times", key, n)
+	seen := make(map[string]bool)
+	for _, r := range replies {
+		if n := byKey[r.key]; r.key != "" && n > 1 && !seen[r.key] {
+			seen[r.key] = true
+			f.disagree("key %s: executed %d times", r.key, n)
 		}
 	}
 }
@@ -119,7 +125,7 @@
 		a := accounts[r.requestID]
 		if a == nil {
 			if r.status != http.StatusBadRequest && r.status != http.StatusNotFound {
-				f.disagree("%s: no account", r.requestID)
+				f.missing++
 			}
 			continue
 		}
--- a/bwload/run.go
+++ b/bwload/run.go
@@ -18,6 +18,8 @@
 	defaultRequestTimeout = 30 * time.Second
 	maxConnections        = 4096
 	payloadBytes          = 64
+	// keyEnd ends the key at the start of a payload.
+	keyEnd = "/"
 )
 
 // Reply is what one caller was told.
@@ -126,13 +128,9 @@
 
 func (r *Runner) newCall(w Work, n int, random *rand.Rand, previousKey string) call {
 	c := call{
-		work:    w,
-		entry:   r.entries[random.IntN(len(r.entries))],
-		caller:  fmt.Sprintf("%s-%s-%d", r.caller, w.Profile, n%w.Callers),
-		payload: make([]byte, payloadBytes),
-	}
-	for i := range c.payload {
-		c.payload[i] = byte('a' + random.IntN(26))
+		work:   w,
+		entry:  r.entries[random.IntN(len(r.entries))],
+		caller: fmt.Sprintf("%s-%s-%d", r.caller, w.Profile, n%w.Callers),
 	}
 	if w.IsKeyed {
 		c.key = fmt.Sprintf("%s-%s-%d", r.caller, w.Profile, n)
@@ -140,9 +138,20 @@
 			c.key = previousKey
 		}
 	}
+	c.payload = newPayload(c.key, random)
 	return c
 }
 
+// newPayload returns a payload that starts with the key, by which executions count even
+// when the caller got no reply.
+func newPayload(key string, random *rand.Rand) []byte {
+	payload := []byte(key + keyEnd)
+	for len(payload) < payloadBytes {
+		payload = append(payload, byte('a'+random.IntN(26)))
+	}
+	return payload
+}
+
 // send makes one call. A connection that is refused is tried at the next entry, as a
 // balancer does, because nothing was sent.
 func (r *Runner) send(ctx context.Context, c call, intended time.Time) Reply {
--- a/cmd/basilwood-load/main.go
+++ b/cmd/basilwood-load/main.go
@@ -22,6 +22,7 @@
 	settle   time.Duration
 	seed     uint64
 	plot     string
+	mayMiss  bool
 }
 
 func main() {
@@ -35,6 +36,7 @@
 	app.Flag("duration", "Duration of the load.").Default("10s").DurationVar(&s.duration)
 	app.Flag("settle", "Time between the load and the check.").Default("2s").DurationVar(&s.settle)
 	app.Flag("seed", "Seed of random choices.").Default("1").Uint64Var(&s.seed)
+	app.Flag("may-miss-accounts", "Allow replies without an account, as after a kill.").BoolVar(&s.mayMiss)
 	app.Flag("plot", "PNG file for a plot of the latencies.").StringVar(&s.plot)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	var problems bwsettings.Problems
@@ -84,6 +86,9 @@
 	for _, d := range finding.Disagreements() {
 		fmt.Println("DISAGREEMENT:", d)
 	}
+	if finding.Missing() > 0 && !s.mayMiss {
+		return fmt.Errorf("%d replies without an account", finding.Missing())
+	}
 	if n := len(finding.Disagreements()); n > 0 {
 		return fmt.Errorf("%d disagreements", n)
 	}
