--- a/bwcontroller/administration.go
+++ b/bwcontroller/administration.go
@@ -6,10 +6,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"basilwood.example/basilwood/bwcodec"
 	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwpool"
 	"basilwood.example/basilwood/bwprofile"
 	"basilwood.example/basilwood/bwroster"
@@ -19,12 +19,8 @@
 )
 
 const (
-	maxInputBytes  = 1 << 20
-	headerTimeout  = 5 * time.Second
-	readTimeout    = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 16 << 10
-	writeTries     = 5
+	maxInputBytes = 1 << 20
+	writeTries    = 5
 )
 
 // Item is the JSON form of one configuration value.
@@ -70,7 +66,7 @@
 	handle := func(method, path string, f func(*http.Request) outcome) {
 		r.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 			o := f(r)
-			writeJSON(w, o.status, o.body)
+			bwhttp.WriteJSON(w, o.status, o.body)
 		}).Methods(method)
 	}
 	handle(http.MethodGet, "/v1/{kind:profiles|teams|pools|hosts}", c.listItems)
@@ -88,23 +84,6 @@
 	return r
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// A failed write means that the operator is gone.
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // listItems returns every value of a kind from the local copy.
 func (c *Controller) listItems(r *http.Request) outcome {
 	v := c.replica.Version()
--- a/bwcontroller/controller.go
+++ b/bwcontroller/controller.go
@@ -11,12 +11,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwmember"
 	"basilwood.example/basilwood/bwpeer"
 	"basilwood.example/basilwood/bwplatform"
@@ -128,10 +128,10 @@
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
-	administration := newServer(c.administrationRoutes())
-	operations := newServer(c.operationRoutes())
-	group.Go(func() error { return serve(administration, l.Administration) })
-	group.Go(func() error { return serve(operations, l.Operations) })
+	administration := bwhttp.NewServer(c.administrationRoutes())
+	operations := bwhttp.NewServer(c.operationRoutes())
+	group.Go(func() error { return bwhttp.Serve(administration, l.Administration) })
+	group.Go(func() error { return bwhttp.Serve(operations, l.Operations) })
 	for _, run := range []func(context.Context){
 		c.syncer.Run, c.syncer.Ticker, c.registrar.Run, c.pollPlatform, c.reconcileAll,
 	} {
@@ -158,14 +158,6 @@
 	return err
 }
 
-func serve(s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
-	if err == http.ErrServerClosed {
-		return nil
-	}
-	return err
-}
-
 // pollPlatform follows the platform's host list until ctx ends.
 func (c *Controller) pollPlatform(ctx context.Context) {
 	t := time.NewTicker(platformInterval)
--- a/bwcontroller/status.go
+++ b/bwcontroller/status.go
@@ -10,6 +10,7 @@
 
 	"basilwood.example/basilwood/bwcodec"
 	"basilwood.example/basilwood/bwconfig"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwpeer"
 	"basilwood.example/basilwood/bwpool"
 	"basilwood.example/basilwood/bwsearch"
@@ -191,14 +192,10 @@
 func (c *Controller) operationRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
-	r.HandleFunc("/debug/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, c.state()) })
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
+	r.HandleFunc("/debug/state", func(w http.ResponseWriter, _ *http.Request) { bwhttp.WriteJSON(w, http.StatusOK, c.state()) })
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { bwhttp.WriteJSON(w, http.StatusOK, "ok") })
 	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !c.replica.IsLoaded() {
-			writeJSON(w, http.StatusServiceUnavailable, "not ready")
-			return
-		}
-		writeJSON(w, http.StatusOK, "ready")
+		bwhttp.Ready(w, c.replica.IsLoaded())
 	})
 	return r
 }
--- a/bwentry/callers.go
+++ b/bwentry/callers.go
@@ -11,6 +11,7 @@
 
 	"basilwood.example/basilwood/bwaccount"
 	"basilwood.example/basilwood/bwcodec"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwoutcome"
 	"basilwood.example/basilwood/bwpeer"
 	"basilwood.example/basilwood/bwprofile"
@@ -196,7 +197,7 @@
 		seconds := math.Ceil(float64(o.GetRetryAfterMillis()) / 1000)
 		h.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	writeJSON(w, o.HTTPStatus(), Problem{
+	bwhttp.WriteJSON(w, o.HTTPStatus(), Problem{
 		Outcome:          o.GetKind().String(),
 		Reason:           o.GetReason().String(),
 		Message:          message,
@@ -206,13 +207,6 @@
 	})
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// A failed write means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // AccountList is the JSON reply to a search for accounts.
 type AccountList struct {
 	Accounts []json.RawMessage `json:"accounts"`
@@ -230,13 +224,13 @@
 	query := r.URL.Query()
 	request := &bwpeer.LookupRequest{IdempotencyKey: query.Get("idempotencyKey"), Caller: query.Get("caller")}
 	if request.GetIdempotencyKey() == "" && request.GetCaller() == "" {
-		writeJSON(w, http.StatusBadRequest, Problem{Reason: "malformed", Message: "give idempotencyKey, or caller with since"})
+		bwhttp.WriteJSON(w, http.StatusBadRequest, Problem{Reason: "malformed", Message: "give idempotencyKey, or caller with since"})
 		return
 	}
 	if since := query.Get("since"); since != "" {
 		at, err := time.Parse(time.RFC3339, since)
 		if err != nil {
-			writeJSON(w, http.StatusBadRequest, Problem{Reason: "malformed", Message: "since is not an RFC 3339 time"})
+			bwhttp.WriteJSON(w, http.StatusBadRequest, Problem{Reason: "malformed", Message: "since is not an RFC 3339 time"})
 			return
 		}
 		request.SinceMillis = at.UnixMilli()
@@ -264,7 +258,7 @@
 	if len(list.Accounts) == 0 {
 		status = http.StatusNotFound
 	}
-	writeJSON(w, status, list)
+	bwhttp.WriteJSON(w, status, list)
 }
 
 // Cancellation is the JSON reply to a cancellation.
@@ -290,5 +284,5 @@
 	if result == bwpeer.CancelResult_notFound {
 		status = http.StatusNotFound
 	}
-	writeJSON(w, status, Cancellation{RequestID: id, Result: result.String()})
+	bwhttp.WriteJSON(w, status, Cancellation{RequestID: id, Result: result.String()})
 }
--- a/bwentry/entry.go
+++ b/bwentry/entry.go
@@ -22,6 +22,7 @@
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwconfig"
 	"basilwood.example/basilwood/bwhome"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwmember"
 	"basilwood.example/basilwood/bwpeer"
 	"basilwood.example/basilwood/bwplatform"
@@ -192,10 +193,10 @@
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	group, inner := errgroup.WithContext(background)
-	callers := newServer(e.callerRoutes())
-	operations := newServer(e.operationRoutes())
-	group.Go(func() error { return serve(callers, l.Callers) })
-	group.Go(func() error { return serve(operations, l.Operations) })
+	callers := bwhttp.NewServer(e.callerRoutes())
+	operations := bwhttp.NewServer(e.operationRoutes())
+	group.Go(func() error { return bwhttp.Serve(callers, l.Callers) })
+	group.Go(func() error { return bwhttp.Serve(operations, l.Operations) })
 	group.Go(func() error { return ignoreCancel(inner, bwpeer.Serve(inner, l.Peers, &peerServer{entry: e})) })
 	for _, run := range []func(context.Context){
 		e.syncer.Run, e.syncer.Ticker, e.home.Run, e.writer.Run, e.mesh.run, e.registrar.Run, e.mesh.pollPlatform,
@@ -235,14 +236,6 @@
 	return homeDone && callersDone
 }
 
-func serve(s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
-	if err == http.ErrServerClosed {
-		return nil
-	}
-	return err
-}
-
 // ignoreCancel drops the error of a server that was told to end.
 func ignoreCancel(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -250,21 +243,3 @@
 	}
 	return err
 }
-
-const (
-	headerTimeout  = 5 * time.Second
-	readTimeout    = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 16 << 10
-)
-
-// newServer returns an HTTP server that a slow client cannot hold for ever.
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
--- a/bwentry/operations.go
+++ b/bwentry/operations.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwhome"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwoutcome"
 	"basilwood.example/basilwood/bwpeer"
 	"github.com/gorilla/mux"
@@ -74,17 +75,13 @@
 	r.HandleFunc("/debug/state", e.serveState)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { bwhttp.WriteJSON(w, http.StatusOK, "ok") })
 	r.HandleFunc("/readyz", e.serveReady)
 	return r
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !e.IsReady() {
-		writeJSON(w, http.StatusServiceUnavailable, "not ready")
-		return
-	}
-	writeJSON(w, http.StatusOK, "ready")
+	bwhttp.Ready(w, e.IsReady())
 }
 
 // State is the dump of the process's state.
@@ -140,5 +137,5 @@
 			Revision:    m.Revision(),
 		})
 	}
-	writeJSON(w, http.StatusOK, s)
+	bwhttp.WriteJSON(w, http.StatusOK, s)
 }
--- /dev/null
+++ b/bwqueue/main_test.go
@@ -0,0 +1,15 @@
+package bwqueue_test
+
+import (
+	"os"
+	"testing"
+
+	"basilwood.example/basilwood/bwseed"
+)
+
+func TestMain(m *testing.M) {
+	if err := bwseed.Configure("300"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/bwqueue/queue.go
+++ b/bwqueue/queue.go
@@ -22,6 +22,9 @@
 	learningWeight = 0.05
 	// priorService is assumed until a profile has finished a request.
 	priorService = 50 * time.Millisecond
+	// maxReserve is the largest part of the time until the deadline that is kept for the
+	// service itself.
+	maxReserve = 0.25
 )
 
 // Policy is a rule for the order of requests.
@@ -79,12 +82,14 @@
 	caller   string
 	arrived  bwclock.Time
 	deadline bwclock.Time
-	number   int64
+	// latest is the moment after which a start would most likely be in vain.
+	latest bwclock.Time
+	number int64
 }
 
 // NewTicket returns a ticket for a request that arrives now.
 func NewTicket(id, profile, caller string, now, deadline bwclock.Time) Ticket {
-	return Ticket{id: id, profile: profile, caller: caller, arrived: now, deadline: deadline}
+	return Ticket{id: id, profile: profile, caller: caller, arrived: now, deadline: deadline, latest: deadline}
 }
 
 // ID returns the request id.
@@ -96,9 +101,13 @@
 // Arrived returns the moment of arrival.
 func (t Ticket) Arrived() bwclock.Time { return t.arrived }
 
-// Deadline returns the moment after which the request must not start.
+// Deadline returns the caller's deadline.
 func (t Ticket) Deadline() bwclock.Time { return t.deadline }
 
+// LatestStart returns the moment after which the request is not started any more. Push
+// moves it ahead of the deadline by the time that the service itself is expected to take.
+func (t Ticket) LatestStart() bwclock.Time { return t.latest }
+
 // Admission is the decision about an arriving request.
 type Admission int
 
@@ -146,6 +155,7 @@
 	queued  int
 	inUse   int
 	service time.Duration
+	learned bool
 }
 
 // callerLine holds the requests of one caller in order of arrival.
@@ -226,7 +236,8 @@
 	if l.queued >= l.share.limit {
 		return QueueFull
 	}
-	if q.policy == PolicyShares && now.Add(q.Wait(t.profile)) > t.deadline {
+	t.latest = t.deadline.Add(-l.reserve(t.deadline.Sub(now)))
+	if q.policy == PolicyShares && now.Add(q.Wait(t.profile)) > t.latest {
 		return TooLate
 	}
 	q.counter++
@@ -236,6 +247,15 @@
 	return Admitted
 }
 
+// reserve returns the time to keep for the service of a request with the given time
+// left. A request that starts later would use a slot and end as unknown.
+func (l *line) reserve(left time.Duration) time.Duration {
+	if !l.learned {
+		return 0
+	}
+	return min(l.service, time.Duration(maxReserve*float64(left)))
+}
+
 func (l *line) push(t Ticket) {
 	l.queued++
 	for _, c := range l.callers {
@@ -273,14 +293,14 @@
 	return time.Duration(float64(l.queued+1) * float64(l.service) / slots)
 }
 
-// Expire removes and returns the requests whose deadline has passed.
+// Expire removes and returns the requests whose latest start has passed.
 func (q *Queue) Expire(now bwclock.Time) []Ticket {
 	var expired []Ticket
 	for _, l := range q.lines {
 		for _, c := range l.callers {
 			kept := c.tickets[:0]
 			for _, t := range c.tickets {
-				if t.deadline <= now {
+				if t.latest <= now {
 					expired = append(expired, t)
 					continue
 				}
@@ -344,6 +364,7 @@
 // Learn takes the service time of a finished request into the profile's mean.
 func (q *Queue) Learn(profile string, took time.Duration) {
 	l := q.line(profile)
+	l.learned = true
 	l.service += time.Duration(learningWeight * float64(took-l.service))
 }
 
--- /dev/null
+++ b/bwqueue/queue_test.go
@@ -0,0 +1,195 @@
+package bwqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwqueue"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// queueMachine drives a queue of eight slots with three profiles. The oracle keeps the
+// waiting and the running requests as plain maps.
+type queueMachine struct {
+	queue    *bwqueue.Queue
+	shares   map[string]float64
+	waiting  map[string]string
+	deadline map[string]bwclock.Time
+	running  []string
+	used     map[string]int
+	now      bwclock.Time
+	serial   int
+}
+
+const (
+	slots        = 8
+	longDeadline = time.Hour
+)
+
+func newQueueMachine() *queueMachine {
+	m := &queueMachine{
+		queue:    bwqueue.New(bwqueue.PolicyShares),
+		shares:   map[string]float64{"a": 1.5, "b": 4, "c": 0},
+		waiting:  make(map[string]string),
+		deadline: make(map[string]bwclock.Time),
+		used:     make(map[string]int),
+		now:      1000,
+	}
+	m.queue.Configure([]bwqueue.Share{
+		bwqueue.NewShare("a", 1.5, 0, 20), bwqueue.NewShare("b", 4, 1, 20), bwqueue.NewShare("c", 0, 3, 20),
+	}, slots)
+	return m
+}
+
+func (m *queueMachine) Push(t *rapid.T) {
+	profile := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "profile")
+	caller := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller")
+	wait := rapid.SampledFrom([]time.Duration{time.Millisecond, 300 * time.Millisecond, longDeadline}).Draw(t, "deadline")
+	m.serial++
+	id := fmt.Sprint(m.serial)
+	deadline := m.now.Add(wait)
+	admission := m.queue.Push(bwqueue.NewTicket(id, profile, caller, m.now, deadline), m.now)
+	switch {
+	case admission == bwqueue.Admitted:
+		m.waiting[id] = profile
+		m.deadline[id] = deadline
+	case wait == longDeadline && m.count(profile) < 20:
+		t.Fatalf("refused as %s with %d queued and an hour left", admission, m.count(profile))
+	}
+}
+
+func (m *queueMachine) count(profile string) int {
+	n := 0
+	for _, p := range m.waiting {
+		if p == profile {
+			n++
+		}
+	}
+	return n
+}
+
+// Start takes the next request and checks the promise of the shares.
+func (m *queueMachine) Start(t *rapid.T) {
+	if len(m.running) >= slots {
+		t.Skip("no slot")
+	}
+	ticket, ok := m.queue.Next()
+	if !ok {
+		if len(m.waiting) > 0 {
+			t.Fatalf("%d requests wait and none is started", len(m.waiting))
+		}
+		return
+	}
+	profile, known := m.waiting[ticket.ID()]
+	if !known || profile != ticket.Profile() {
+		t.Fatalf("started %s, which does not wait", ticket.ID())
+	}
+	if float64(m.used[profile]) >= m.shares[profile] {
+		for other, share := range m.shares {
+			if m.count(other) > 0 && float64(m.used[other]) < share {
+				t.Fatalf("%s got a slot above its share while %s waits below its own", profile, other)
+			}
+		}
+	}
+	delete(m.waiting, ticket.ID())
+	m.running = append(m.running, profile)
+	m.used[profile]++
+}
+
+func (m *queueMachine) Finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "finished")
+	profile := m.running[i]
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	m.used[profile]--
+	m.queue.Finish(profile)
+	m.queue.Learn(profile, time.Duration(rapid.IntRange(1, 100).Draw(t, "took"))*time.Millisecond)
+}
+
+func (m *queueMachine) Remove(t *rapid.T) {
+	for id, profile := range m.waiting {
+		if !m.queue.Remove(profile, id) {
+			t.Fatalf("%s could not be removed", id)
+		}
+		delete(m.waiting, id)
+		return
+	}
+	t.Skip("nothing waits")
+}
+
+func (m *queueMachine) Expire(t *rapid.T) {
+	m.now += bwclock.Time(rapid.IntRange(1, 500).Draw(t, "millis"))
+	for _, ticket := range m.queue.Expire(m.now) {
+		deadline := m.deadline[ticket.ID()]
+		budget := deadline.Sub(ticket.Arrived())
+		if ticket.LatestStart() > m.now || deadline.Sub(ticket.LatestStart()) > budget/4+time.Millisecond {
+			t.Fatalf("%s expired too early", ticket.ID())
+		}
+		delete(m.waiting, ticket.ID())
+	}
+	for id := range m.waiting {
+		if m.deadline[id] <= m.now {
+			t.Fatalf("%s waits after its deadline", id)
+		}
+	}
+}
+
+func (m *queueMachine) Check(t *rapid.T) {
+	if m.queue.Len() != len(m.waiting) || m.queue.InUse() != len(m.running) {
+		t.Fatalf("queue counts %d waiting and %d running, oracle %d and %d",
+			m.queue.Len(), m.queue.InUse(), len(m.waiting), len(m.running))
+	}
+}
+
+func TestQueueMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newQueueMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"push": m.Push, "start": m.Start, "finish": m.Finish, "remove": m.Remove, "expire": m.Expire, "": m.Check,
+		})
+	})
+}
+
+func TestCallersTakeTurns(t *testing.T) {
+	q := bwqueue.New(bwqueue.PolicyShares)
+	q.Configure([]bwqueue.Share{bwqueue.NewShare("a", 1, 0, 100)}, slots)
+	for i := range 30 {
+		caller := "flooder"
+		if i >= 27 {
+			caller = "other"
+		}
+		q.Push(bwqueue.NewTicket(fmt.Sprint(i), "a", caller, 1, 1_000_000_000), 1)
+	}
+	var order []string
+	for range 4 {
+		ticket, ok := q.Next()
+		assert.Assert(t, ok)
+		order = append(order, ticket.ID())
+	}
+	assert.DeepEqual(t, order, []string{"0", "27", "1", "28"})
+}
+
+// BenchmarkPushNext is the cost of queueing one request.
+func BenchmarkPushNext(b *testing.B) {
+	for _, profiles := range []int{2, 16, 61} {
+		b.Run(fmt.Sprintf("profiles=%d", profiles), func(b *testing.B) {
+			q := bwqueue.New(bwqueue.PolicyShares)
+			var shares []bwqueue.Share
+			for i := range profiles {
+				shares = append(shares, bwqueue.NewShare(fmt.Sprint(i), 1, i%4, 1_000_000))
+			}
+			q.Configure(shares, 1000)
+			for i := range b.N {
+				profile := fmt.Sprint(i % profiles)
+				q.Push(bwqueue.NewTicket("id", profile, "caller", 1, 1_000_000_000), 1)
+				q.Next()
+				q.Finish(profile)
+			}
+		})
+	}
+}
