bwhome: expire queues every 25 ms

Cause: an idle entry used 2.1 to 2.4% of a core, which is the whole budget for control; the profile shows wake-ups of the scheduler, 100 a second of them from the expiry of queues. Ruled out: computing responsibilities (not in the profile after the last change). Deadlines in a queue are 25 ms exact, which no profile's promise is near to.

--- a/bwhome/home.go
+++ b/bwhome/home.go
@@ -32,7 +32,7 @@
 
 const (
 	retryAfter     = time.Second
-	expiryInterval = 10 * time.Millisecond
+	expiryInterval = 25 * time.Millisecond
 	// memory is how long after its deadline a finished or refused request is remembered.
 	memory = time.Minute
 	// orphanMemory is how long the cancellation of an unseen request is remembered. It
