--- a/bwadmin/client.go
+++ b/bwadmin/client.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// AwaitReady waits until the process whose operations address is given is ready.
+func AwaitReady(ctx context.Context, address string) error {
+	c := New("http://" + address)
+	for {
+		var state string
+		err := c.call(ctx, http.MethodGet, "/readyz", nil, &state)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return oops.In("bwadmin").Wrapf(err, "%s is not ready", address)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
 // Dump returns the state dump of the process whose operations address is given.
 func Dump(ctx context.Context, address string) ([]byte, error) {
 	c := New("http://" + address)
--- a/bwentry/callers.go
+++ b/bwentry/callers.go
@@ -193,11 +193,13 @@
 	}
 	h := w.Header()
 	h.Set(HeaderOutcome, o.GetKind().String())
-	if o.GetRetryAfterMillis() > 0 {
-		seconds := math.Ceil(float64(o.GetRetryAfterMillis()) / 1000)
-		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	status := o.HTTPStatus()
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		wait := max(o.GetRetryAfterMillis(), retryAfter.Milliseconds())
+		o.RetryAfterMillis = wait
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(wait)/1000))))
 	}
-	bwhttp.WriteJSON(w, o.HTTPStatus(), Problem{
+	bwhttp.WriteJSON(w, status, Problem{
 		Outcome:          o.GetKind().String(),
 		Reason:           o.GetReason().String(),
 		Message:          message,
--- a/bwproof/fleet_test.go
+++ b/bwproof/fleet_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -378,6 +379,23 @@
 	}
 }
 
+// post sends a request with the given headers and returns the status and the refusal.
+func (f *fleet) post(b badRequest) (int, bwentry.Problem) {
+	url := "http://" + callerAddress(f.entries[0]) + "/v1/services/" + b.path + "/requests"
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(b.body))
+	assert.NilError(f.t, err)
+	for name, value := range b.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := f.client.Do(req)
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	var problem bwentry.Problem
+	// An answer of a target is no problem and leaves it empty.
+	_ = json.NewDecoder(resp.Body).Decode(&problem)
+	return resp.StatusCode, problem
+}
+
 // account asks an entry for the account of a request; nil when there is none.
 func (f *fleet) account(p *process, id string) *bwaccount.Account {
 	resp, err := f.client.Get("http://" + callerAddress(p) + "/v1/requests/" + id)
--- a/cmd/basilwood-controller/main.go
+++ b/cmd/basilwood-controller/main.go
@@ -54,9 +54,9 @@
 	app.Flag("id", "Name of this controller, unique among the controllers.").Envar("BASILWOOD_ID").StringVar(&s.id)
 	app.Flag("data-centre", "Data centre of this controller.").Envar("BASILWOOD_DATA_CENTRE").StringVar(&s.dataCentre)
 	app.Flag("administration-address", "IP number and port of the administration API.").
-		Envar("BASILWOOD_ADMINISTRATION_ADDRESS").Default("127.0.0.1:7400").StringVar(&s.administration)
+		Envar("BASILWOOD_ADMINISTRATION_ADDRESS").Default("127.0.0.1:7401").StringVar(&s.administration)
 	app.Flag("operations-address", "IP number and port for metrics, health and the state dump.").
-		Envar("BASILWOOD_OPERATIONS_ADDRESS").Default("127.0.0.1:7500").StringVar(&s.operations)
+		Envar("BASILWOOD_OPERATIONS_ADDRESS").Default("127.0.0.1:7501").StringVar(&s.operations)
 	app.Flag("store", "URL of the platform's key-value service.").
 		Envar("BASILWOOD_STORE").Default("http://127.0.0.1:7001").StringVar(&s.store)
 	app.Flag("platform", "URL of the platform.").
--- a/cmd/basilwood-entry/main.go
+++ b/cmd/basilwood-entry/main.go
@@ -61,9 +61,9 @@
 	}
 	flag("id", "Name of this entry, unique among the entries.").StringVar(&s.id)
 	flag("data-centre", "Data centre of this entry.").StringVar(&s.dataCentre)
-	flag("callers-address", "IP number and port for callers' HTTP.").Default("127.0.0.1:7100").StringVar(&s.callers)
-	flag("peer-address", "IP number and port for other entries and controllers.").Default("127.0.0.1:7200").StringVar(&s.peers)
-	flag("operations-address", "IP number and port for metrics, health and the state dump.").Default("127.0.0.1:7300").StringVar(&s.operations)
+	flag("callers-address", "IP number and port for callers' HTTP.").Default("127.0.0.1:7101").StringVar(&s.callers)
+	flag("peer-address", "IP number and port for other entries and controllers.").Default("127.0.0.1:7201").StringVar(&s.peers)
+	flag("operations-address", "IP number and port for metrics, health and the state dump.").Default("127.0.0.1:7301").StringVar(&s.operations)
 	flag("store", "URL of the platform's key-value service.").Default("http://127.0.0.1:7001").StringVar(&s.store)
 	flag("platform", "URL of the platform.").Default("http://127.0.0.1:7002").StringVar(&s.platform)
 	flag("seed", "Peer address to load the configuration from while the store is down; repeatable.").StringsVar(&s.seeds)
--- a/cmd/basilwood/main.go
+++ b/cmd/basilwood/main.go
@@ -45,6 +45,9 @@
 	caller   string
 	since    time.Duration
 	address  string
+	// addresses are the operations addresses that ready waits for.
+	addresses []string
+	timeout   time.Duration
 }
 
 // command is one action of the command line.
@@ -54,7 +57,7 @@
 	s := &session{}
 	app := kingpin.New("basilwood", "Operates a basilwood fleet through the administration API of a controller.")
 	app.Flag("controller", "URL of a controller.").Envar("BASILWOOD_CONTROLLER").
-		Default("http://127.0.0.1:7400").StringVar(&s.controller)
+		Default("http://127.0.0.1:7401").StringVar(&s.controller)
 	app.Flag("output", "Form of the output: table or json.").Envar("BASILWOOD_OUTPUT").
 		Default("table").EnumVar(&s.output, "table", "json")
 	commands := s.register(app)
@@ -101,6 +104,11 @@
 	dump.Arg("address", "Operations address of the process, such as 127.0.0.1:7301.").Required().StringVar(&s.address)
 	commands["dump"] = s.dump
 
+	ready := app.Command("ready", "Wait until processes are ready.")
+	ready.Arg("address", "Operations address of a process; repeatable.").Required().StringsVar(&s.addresses)
+	ready.Flag("timeout", "Longest wait.").Default("20s").DurationVar(&s.timeout)
+	commands["ready"] = s.ready
+
 	apply := app.Command("apply", "Apply a file of teams, pools, hosts and profiles.")
 	apply.Flag("file", "YAML or JSON file.").Short('f').Required().StringVar(&s.file)
 	apply.Flag("dry-run", "Print what would change and change nothing.").BoolVar(&s.dryRun)
@@ -142,12 +150,17 @@
 		move := group.Command("move", "Move a host to another pool without cutting work.")
 		move.Arg("name", "Name of the host.").Required().StringVar(&s.name)
 		move.Flag("to", "Pool to move to.").Required().StringVar(&s.toPool)
+		s.registerWait(move)
 		commands["host move"] = s.move
 	}
 }
 
 func (s *session) registerChange(c *kingpin.CmdClause) {
 	c.Flag("expected-revision", "Change only if the value is at this revision.").Default("-1").Int64Var(&s.expected)
+	s.registerWait(c)
+}
+
+func (s *session) registerWait(c *kingpin.CmdClause) {
 	c.Flag("wait", "Wait until the change is in force at every entry.").BoolVar(&s.wait)
 }
 
@@ -156,6 +169,7 @@
 	for _, action := range []string{"start", "pause", "resume", "cancel"} {
 		c := group.Command(action, action+" the wave of a pool.")
 		c.Arg("pool", "Name of the pool.").Required().StringVar(&s.name)
+		s.registerWait(c)
 		commands["maintenance "+action] = func(ctx context.Context) error {
 			revision, err := s.client.ChangeWave(ctx, s.name, action)
 			return s.accepted(ctx, revision, err)
@@ -246,6 +260,17 @@
 	return nil
 }
 
+func (s *session) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	for _, address := range s.addresses {
+		if err := bwadmin.AwaitReady(ctx, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *session) account(ctx context.Context) error {
 	query := url.Values{}
 	switch {
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -24,17 +24,6 @@
   PIDS=()
 }
 
-# await URL waits until the URL answers with success.
-await() {
-  local i
-  for i in $(seq 200); do
-    curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
-    sleep 0.05
-  done
-  echo "no answer from $1; see $RUN/*.log" >&2
-  return 1
-}
-
 # target_flags prints --host flags for every host of the example fleet.
 target_flags() {
   sed -n "s/.*{name: \([a-z0-9-]*\), pool.*address: '\([0-9.:]*\)'.*/--host \1=\2/p" examples/fleet.yaml
@@ -66,15 +55,10 @@
   start store "$BIN/basilwood-standin" store
   start targets "$BIN/basilwood-standin" target --mean "${TARGET_MEAN:-20ms}" $(target_flags)
   start platform "$BIN/basilwood-standin" platform $(target_flags)
-  await http://127.0.0.1:7001/stats
-  await http://127.0.0.1:7002/v1/hosts
   for i in 1 2 3; do
     start_entry "$i" "$@"
     start_controller "$i"
   done
-  for i in 1 2 3; do
-    await "http://127.0.0.1:730$i/readyz"
-    await "http://127.0.0.1:750$i/readyz"
-  done
+  "$BIN/basilwood" ready 127.0.0.1:7301 127.0.0.1:7302 127.0.0.1:7303 127.0.0.1:7501 127.0.0.1:7502 127.0.0.1:7503
   "$BIN/basilwood" --controller http://127.0.0.1:7401 apply -f examples/fleet.yaml --wait >"$RUN/apply.log"
 }
