bwclaim, bwconfig, bwqueue: machines return where nothing applies

An action that does not apply ended by rapid's Skip, which reads like a skipped test; it now returns.

--- a/bwclaim/shard_test.go
+++ b/bwclaim/shard_test.go
@@ -100,7 +100,7 @@
 // Write sends one of the composed batches, in any order.
 func (m *claimMachine) Write(t *rapid.T) {
 	if len(m.pending) == 0 {
-		t.Skip("nothing pending")
+		return
 	}
 	i := rapid.IntRange(0, len(m.pending)-1).Draw(t, "write")
 	w := m.pending[i]
@@ -135,7 +135,7 @@
 	key := m.key(t)
 	holder := m.holders[key]
 	if holder == nil {
-		t.Skip("no holder")
+		return
 	}
 	o := m.owner(t)
 	r := proto.CloneOf(holder)
--- a/bwconfig/replica_test.go
+++ b/bwconfig/replica_test.go
@@ -75,7 +75,7 @@
 func (m *replicaMachine) Watch(t *rapid.T) {
 	r := m.replica(t)
 	if !r.IsLoaded() {
-		t.Skip("a watch follows a list")
+		return
 	}
 	after, revision := r.Version().Revision(), m.last()
 	entries := append([]bwstore.Entry(nil), m.history[after:revision]...)
@@ -91,7 +91,7 @@
 
 func (m *replicaMachine) Deliver(t *rapid.T) {
 	if len(m.delayed) == 0 {
-		t.Skip("nothing delayed")
+		return
 	}
 	i := rapid.IntRange(0, len(m.delayed)-1).Draw(t, "reply")
 	reply := m.delayed[i]
--- a/bwqueue/queue_test.go
+++ b/bwqueue/queue_test.go
@@ -74,7 +74,7 @@
 // Start takes the next request and checks the promise of the shares.
 func (m *queueMachine) Start(t *rapid.T) {
 	if len(m.running) >= slots {
-		t.Skip("no slot")
+		return
 	}
 	ticket, ok := m.queue.Next()
 	if !ok {
@@ -101,7 +101,7 @@
 
 func (m *queueMachine) Finish(t *rapid.T) {
 	if len(m.running) == 0 {
-		t.Skip("nothing runs")
+		return
 	}
 	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "finished")
 	profile := m.running[i]
@@ -119,7 +119,6 @@
 		delete(m.waiting, id)
 		return
 	}
-	t.Skip("nothing waits")
 }
 
 func (m *queueMachine) Expire(t *rapid.T) {
