bwproof: limits for racks and data centres in the operations machine

The fleets had only a budget for each pool. Pool alpha now allows 2 hosts and 1 a rack and a data centre, two hosts share a rack, and the audit counts permits by both.

--- a/bwentry/mesh.go
+++ b/bwentry/mesh.go
@@ -31,6 +31,7 @@
 	// applied is the configuration revision that the home works by.
 	applied atomic.Int64
 
+	// refreshMu is held by the one refresh that runs.
 	refreshMu sync.Mutex
 
 	mu      sync.Mutex
@@ -95,36 +96,39 @@
 	m.refreshMu.Lock()
 	defer m.refreshMu.Unlock()
 	v := m.entry.replica.Version()
-	beat := m.selfBeat()
-	m.mu.Lock()
-	now := m.entry.clock.Now()
-	m.view.SetSelf(beat)
-	m.view.Register(v.Registered(), now)
-	live := m.view.Live(now)
-	basis := m.basisOf(v, live)
-	isChanged := basis != m.basis
-	if isChanged {
-		m.table = bwroute.Build(v, live, func(host string) bool { return m.leaving[host] })
-		m.basis = basis
-	} else {
-		m.table = m.table.WithMembers(live)
-	}
-	table := m.table
-	m.updateReach(m.view.Reachable(now))
-	ejected := ejectedElsewhere(live)
-	m.mu.Unlock()
+	live, isChanged := m.updateTable(v, m.selfBeat())
 	m.entry.store.SetWriteLimit(bwstore.ClassClaims, m.entry.claimWrites/float64(max(1, len(live))))
-	m.entry.home.SetEjectedElsewhere(ejected)
+	m.entry.home.SetEjectedElsewhere(ejectedElsewhere(live))
 	switch {
 	case m.entry.leaving.Load():
 	case isChanged:
-		m.entry.home.Configure(v, table.Assignment())
+		m.entry.home.Configure(v, m.currentTable().Assignment())
 	default:
 		m.entry.home.UpdateShares()
 	}
 	m.applied.Store(v.Revision())
 }
 
+// updateTable brings the view and the table up to date. It returns the live entries and
+// whether responsibilities may have changed.
+func (m *mesh) updateTable(v *bwconfig.Version, self *bwpeer.Beat) (live []bwmember.Member, isChanged bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.entry.clock.Now()
+	m.view.SetSelf(self)
+	m.view.Register(v.Registered(), now)
+	m.updateReach(m.view.Reachable(now))
+	live = m.view.Live(now)
+	basis := m.basisOf(v, live)
+	if basis == m.basis {
+		m.table = m.table.WithMembers(live)
+		return live, false
+	}
+	m.table = bwroute.Build(v, live, func(host string) bool { return m.leaving[host] })
+	m.basis = basis
+	return live, true
+}
+
 // basis is what responsibilities are computed from. Computing them takes time in
 // proportion to the fleet, so it is only done when the basis changes.
 type basis struct {
--- a/bwproof/fleet_test.go
+++ b/bwproof/fleet_test.go
@@ -107,6 +107,10 @@
 	return names
 }
 
+// Two hosts share a rack, and three data centres share the hosts.
+func rackOf(i int) string       { return fmt.Sprintf("rack%d", i/2) }
+func dataCentreOf(i int) string { return fmt.Sprintf("dc%d", i%3) }
+
 func hostAddress(i int) string        { return fmt.Sprintf("10.0.1.%d:80", i+1) }
 func callerAddress(p *process) string { return p.ip + ":80" }
 
@@ -120,13 +124,14 @@
 // configure applies the teams, pools, hosts and profiles through the administration API.
 func (f *fleet) configure() {
 	f.put("teams/team", map[string]any{"name": "team", "quotaSlots": 100})
-	for _, pool := range pools {
-		f.put("pools/"+pool, map[string]any{"name": pool, "service": pool, "maxUnavailable": 1})
-	}
+	f.put("pools/alpha", map[string]any{
+		"name": "alpha", "service": "alpha", "maxUnavailable": 2, "maxUnavailablePerRack": 1, "maxUnavailablePerDataCentre": 1,
+	})
+	f.put("pools/beta", map[string]any{"name": "beta", "service": "beta", "maxUnavailable": 1})
 	time.Sleep(200 * time.Millisecond)
 	for i, name := range hostNames() {
 		f.put("hosts/"+name, map[string]any{
-			"name": name, "pool": pools[i/hostsPerPool], "rack": fmt.Sprintf("rack%d", i), "dataCentre": fmt.Sprintf("dc%d", i%3),
+			"name": name, "pool": pools[i/hostsPerPool], "rack": rackOf(i), "dataCentre": dataCentreOf(i),
 			"address": hostAddress(i), "slots": 8, "cores": 16,
 		})
 	}
--- a/bwproof/roster_test.go
+++ b/bwproof/roster_test.go
@@ -120,6 +120,27 @@
 			return fmt.Sprintf("pool %s has %d permits, budget %d", p.GetName(), len(p.GetPermits()), p.GetMaxUnavailable())
 		}
 	}
+	return auditDomains(p)
+}
+
+// auditDomains checks the limits for each rack and each data centre.
+func auditDomains(p *bwpool.Pool) string {
+	inDomain := make(map[string]int32)
+	for i, host := range hostNames() {
+		if p.FindPermit(host) != nil {
+			inDomain[rackOf(i)]++
+			inDomain[dataCentreOf(i)]++
+		}
+	}
+	for domain, n := range inDomain {
+		limit := p.GetMaxUnavailablePerRack()
+		if strings.HasPrefix(domain, "dc") {
+			limit = p.GetMaxUnavailablePerDataCentre()
+		}
+		if limit > 0 && n > limit {
+			return fmt.Sprintf("pool %s has %d permits in %s, limit %d", p.GetName(), n, domain, limit)
+		}
+	}
 	return ""
 }
 
