bwhome, bwcontroller: keys are free before notRun; steps end with the order

Change: a release is committed as fast as a claim, and the outcome waits for it, at most 0.3 s. A step now ends when the platform accepts its order.

--- a/bwclaim/owner.go
+++ b/bwclaim/owner.go
@@ -189,7 +189,7 @@
 }
 
 // gather waits for the first operation and collects those that follow within a short
-// time. Settlements alone wait longer, because nobody waits for them.
+// time. Outcomes alone wait longer, because nobody waits for them.
 func (l *lane) gather(ctx context.Context) ([]operation, bool) {
 	var batch []operation
 	select {
@@ -205,7 +205,7 @@
 		case <-ctx.Done():
 			return nil, false
 		case op := <-l.ops:
-			if isClaim(op) && !isClaim(batch[0]) {
+			if isUrgent(op) && !isUrgent(batch[0]) {
 				timer.Reset(gatherTime)
 			}
 			batch = append(batch, op)
@@ -218,8 +218,12 @@
 
 func isClaim(op operation) bool { return op.record.GetState() == State_claimed }
 
+// isUrgent reports whether somebody waits for the operation: for a claim, or for the
+// release of a key that the next attempt needs.
+func isUrgent(op operation) bool { return op.record.GetState() != State_settled }
+
 func delayFor(op operation) time.Duration {
-	if isClaim(op) {
+	if isUrgent(op) {
 		return gatherTime
 	}
 	return settleDelay
--- a/bwcontroller/reconcile.go
+++ b/bwcontroller/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -189,17 +190,37 @@
 			h.State = bwroster.State_joining
 		})
 	case bwpool.ActDrain:
-		c.order(ctx, permit, bwplatform.VerbDrain)
+		return c.drain(ctx, permit)
 	case bwpool.ActStop:
-		c.order(ctx, permit, bwplatform.VerbStop)
+		return c.orderAndAdvance(ctx, permit, bwplatform.VerbStop, bwpool.Step_stopped)
 	case bwpool.ActStart:
-		c.order(ctx, permit, bwplatform.VerbStart)
+		return c.orderAndAdvance(ctx, permit, bwplatform.VerbStart, bwpool.Step_started)
 	case bwpool.ActReboot:
 		return c.reboot(ctx, permit)
 	}
 	return d
 }
 
+// drain orders the drain and advances once the host runs nothing any more.
+func (c *Controller) drain(ctx context.Context, permit *bwpool.Permit) bwpool.Decision {
+	r, ok := c.order(ctx, permit, bwplatform.VerbDrain)
+	switch {
+	case !ok:
+		return bwpool.Waiting("the platform does not answer")
+	case r.InFlight > 0:
+		return bwpool.Waiting(fmt.Sprintf("the host still runs %d requests", r.InFlight))
+	}
+	return bwpool.AdvanceTo(bwpool.Step_drained)
+}
+
+// orderAndAdvance advances once the platform has accepted the order.
+func (c *Controller) orderAndAdvance(ctx context.Context, permit *bwpool.Permit, v bwplatform.Verb, next bwpool.Step) bwpool.Decision {
+	if _, ok := c.order(ctx, permit, v); !ok {
+		return bwpool.Waiting("the platform does not answer")
+	}
+	return bwpool.AdvanceTo(next)
+}
+
 // reboot orders the reboot and advances once the host is live after it.
 func (c *Controller) reboot(ctx context.Context, permit *bwpool.Permit) bwpool.Decision {
 	r, ok := c.order(ctx, permit, bwplatform.VerbReboot)
--- a/bwentry/callers.go
+++ b/bwentry/callers.go
@@ -57,7 +57,19 @@
 	r.HandleFunc("/v1/requests/{id}", e.serveAccount).Methods(http.MethodGet)
 	r.HandleFunc("/v1/requests/{id}", e.serveCancel).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/requests", e.serveSearch).Methods(http.MethodGet)
-	return r
+	return e.closeWhenLeaving(r)
+}
+
+// closeWhenLeaving ends callers' connections with their replies while the entry leaves.
+// The server closes idle connections at its shutdown, and a request that arrives on one
+// at that moment would run and lose its reply.
+func (e *Entry) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // serveRequest runs one request.
--- a/bwhome/attempt.go
+++ b/bwhome/attempt.go
@@ -146,8 +146,9 @@
 }
 
 // settle writes the outcome of a claimed job to the log in the background; the caller
-// holds the lock. A job that did not run releases its key.
-func (h *Home) settle(j *job, o *bwoutcome.Outcome) {
+// holds the lock. A job that did not run releases its key. The channel closes when the
+// outcome is noted or given up.
+func (h *Home) settle(j *job, o *bwoutcome.Outcome) <-chan struct{} {
 	r := &bwclaim.Record{
 		Key:           j.request.GetIdempotencyKey(),
 		State:         bwclaim.State_settled,
@@ -169,7 +170,12 @@
 		r.State = bwclaim.State_released
 		r.Outcome = nil
 	}
-	h.group.Go(func() { h.settleUntilNoted(r) })
+	noted := make(chan struct{})
+	h.group.Go(func() {
+		h.settleUntilNoted(r)
+		close(noted)
+	})
+	return noted
 }
 
 func (h *Home) settleUntilNoted(r *bwclaim.Record) {
--- a/bwhome/home.go
+++ b/bwhome/home.go
@@ -39,6 +39,8 @@
 	// is longer than the longest deadline.
 	orphanMemory   = 11 * time.Minute
 	forgetInterval = 5 * time.Second
+	// releasePatience bounds the wait for the release of a key before a notRun.
+	releasePatience = 300 * time.Millisecond
 )
 
 // claims is what the home needs of the claim log.
@@ -313,14 +315,35 @@
 	j.outcome = o
 	delete(h.jobs, j.id())
 	h.finished[j.id()] = finishedJob{kind: o.GetKind(), until: j.deadline().Add(memory)}
-	if j.claim != "" {
-		h.settle(j, o)
-	}
 	if j.request.GetReceiver() != h.incarnation {
 		h.book.Note(j.id(), j.events...)
 		h.book.Close(j.id(), o, j.abandoned)
 	}
-	close(j.done)
+	switch {
+	case j.claim == "":
+		close(j.done)
+	case o.GetKind() == bwoutcome.Kind_notRun:
+		h.releaseFirst(j, o)
+	default:
+		h.settle(j, o)
+		close(j.done)
+	}
+}
+
+// releaseFirst frees the key before the waiter learns the outcome, so that the next
+// attempt, often the same request at another home, does not find the key held. A store
+// that does not answer delays the outcome by at most releasePatience.
+func (h *Home) releaseFirst(j *job, o *bwoutcome.Outcome) {
+	released := h.settle(j, o)
+	h.group.Go(func() {
+		timer := time.NewTimer(releasePatience)
+		defer timer.Stop()
+		select {
+		case <-released:
+		case <-timer.C:
+		}
+		close(j.done)
+	})
 }
 
 // abandon is called when nobody waits for the job any more.
--- a/bwpool/step.go
+++ b/bwpool/step.go
@@ -32,7 +32,9 @@
 	InFlight      int
 }
 
-// Action is what a controller does next for a permit.
+// Action is what a controller does next for a permit. A step ends with the platform's
+// acceptance of its order and not with the state that the order leads to: a host can
+// leave that state by itself, and a repeated order of the same permit has no effect.
 type Action int
 
 // The actions. Each one is safe to repeat.
@@ -139,13 +141,7 @@
 	if problem := undrained(f); problem != "" {
 		return waitFor(problem)
 	}
-	if f.IsLive {
-		return act(ActDrain)
-	}
-	if f.InFlight > 0 {
-		return waitFor(fmt.Sprintf("the host still runs %d requests", f.InFlight))
-	}
-	return advance(Step_drained)
+	return act(ActDrain)
 }
 
 // undrained names the entries that still use the host, or is empty.
@@ -170,10 +166,8 @@
 		return waitFor("the platform does not answer")
 	case f.InFlight > 0:
 		return waitFor(fmt.Sprintf("the host still runs %d requests", f.InFlight))
-	case f.IsRunning:
-		return act(ActStop)
 	}
-	return advance(Step_stopped)
+	return act(ActStop)
 }
 
 // nextStopped reboots for maintenance, or changes the pool for a move. A repeated
@@ -189,13 +183,10 @@
 }
 
 func nextTransferred(f Facts) Decision {
-	switch {
-	case !f.PlatformKnown:
+	if !f.PlatformKnown {
 		return waitFor("the platform does not answer")
-	case !f.IsRunning:
-		return act(ActStart)
 	}
-	return advance(Step_started)
+	return act(ActStart)
 }
 
 func nextStarted(f Facts) Decision {
--- a/bwproof/operations_test.go
+++ b/bwproof/operations_test.go
@@ -338,6 +338,22 @@
 	return n
 }
 
+// TestHostComesBackDuringItsMaintenance is a session that the machine found: a host fails
+// and comes back live between its drain and its stop, and the platform ignores a
+// repeated drain of the same permit.
+func TestHostComesBackDuringItsMaintenance(t *testing.T) {
+	list := []operation{
+		{kind: opWave, a: 7, pause: 1500 * time.Millisecond},
+		{kind: opMove, a: 1, b: 7, pause: 1500 * time.Millisecond},
+		{kind: opMove, a: 4, b: 4, pause: 50 * time.Millisecond},
+		{kind: opFreezeController},
+		{kind: opHostDown, a: 1, b: 4},
+	}
+	if broken := runOperations(t, list); broken != "" {
+		t.Fatal(broken)
+	}
+}
+
 func TestOperationsMachine(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		list := operations().Draw(rt, "operations")
