bwpool: a permit keeps its rack and data centre

Cause (TestOperationsMachine, check 38: 2 permits in dc0, limit 1): the permit of a host that had moved on counted for the pool's budget and not for its rack and data centre, because those came from the pool's present hosts. The permit now keeps them. Ruled out: a race of two controllers (one value, one writer at each revision).

--- a/bwcontroller/maintenance.go
+++ b/bwcontroller/maintenance.go
@@ -43,12 +43,13 @@
 		return failed(http.StatusServiceUnavailable, "unavailable", "the platform's host list is too old to grant a permit by")
 	}
 	return c.updatePool(r, h.GetPool(), func(p *bwpool.Pool) outcome {
-		refusal := bwpool.Check(p, c.hostViews(c.replica.Version(), p.GetName()), name)
+		hosts := c.hostViews(c.replica.Version(), p.GetName())
+		refusal := bwpool.Check(p, hosts, name)
 		if refusal != bwpool.Allowed {
 			return failed(http.StatusConflict, "refused", refusal.String())
 		}
 		permit := &bwpool.Permit{Id: uuid.NewString(), Host: name, Kind: bwpool.PermitKind_move, ToPool: m.ToPool}
-		p.AddPermit(permit, c.clock.Now())
+		p.AddPermit(permit, hosts, c.clock.Now())
 		return outcome{}
 	})
 }
--- a/bwcontroller/reconcile.go
+++ b/bwcontroller/reconcile.go
@@ -119,7 +119,7 @@
 		if !ok {
 			break
 		}
-		p.AddPermit(&bwpool.Permit{Id: uuid.NewString(), Host: host, Wave: p.GetWave().GetId()}, now)
+		p.AddPermit(&bwpool.Permit{Id: uuid.NewString(), Host: host, Wave: p.GetWave().GetId()}, hosts, now)
 		c.log.Info("permit granted", "pool", p.GetName(), "host", host, "wave", p.GetWave().GetId())
 		changed = true
 	}
--- a/bwpool/pool.go
+++ b/bwpool/pool.go
@@ -91,20 +91,14 @@
 // to the reader yet.
 func UsageOf(p *Pool, hosts []HostView) Usage {
 	u := Usage{byRack: make(map[string]int), byDataCentre: make(map[string]int), unavailable: make(map[string]bool)}
-	permitted := make(map[string]bool)
 	for _, permit := range p.GetPermits() {
-		permitted[permit.GetHost()] = true
+		u.add(HostView{name: permit.GetHost(), rack: permit.GetRack(), dataCentre: permit.GetDataCentre()})
 	}
 	for _, h := range hosts {
-		if h.isDown || permitted[h.name] {
+		if h.isDown && !u.unavailable[h.name] {
 			u.add(h)
 		}
 	}
-	for host := range permitted {
-		if !u.unavailable[host] {
-			u.add(HostView{name: host})
-		}
-	}
 	return u
 }
 
@@ -170,8 +164,12 @@
 	return nil
 }
 
-// AddPermit appends a permit at its first step.
-func (p *Pool) AddPermit(permit *Permit, now bwclock.Time) {
+// AddPermit appends a permit for a host of the pool at its first step.
+func (p *Pool) AddPermit(permit *Permit, hosts []HostView, now bwclock.Time) {
+	if h, ok := findView(hosts, permit.GetHost()); ok {
+		permit.Rack = h.rack
+		permit.DataCentre = h.dataCentre
+	}
 	permit.Step = Step_granted
 	permit.GrantedMillis = now.Millis()
 	permit.StepMillis = now.Millis()
