bwentry: a cancellation holds for every home

Cause (TestPromisesMachine, random: cancelled before its start, executed once): a home had given the request back as notRun, a cancellation in that moment got the home's word that it did not run, and the receiver handed the request to the next home. Ruled out: a dispatch after the mark at one home (both steps are under one lock). Change: the receiver marks a cancelled request and gives it to no further home; a request that an earlier home may have run is never confirmed; only the run of the home that got the request can confirm.

--- a/bwentry/callers.go
+++ b/bwentry/callers.go
@@ -291,7 +291,7 @@
 	}
 	for _, m := range e.mesh.others() {
 		if m.Incarnation() == incarnation {
-			result = e.cancelAt(r.Context(), m.Address(), id)
+			result = e.cancelAt(r.Context(), m, id)
 		}
 	}
 	status := http.StatusOK
--- a/bwentry/entry.go
+++ b/bwentry/entry.go
@@ -92,7 +92,7 @@
 	random   *rand.Rand
 
 	pendingMu sync.Mutex
-	pending   map[string]bwmember.Member
+	pending   map[string]*pendingRequest
 }
 
 // Option changes an Entry under construction.
@@ -145,7 +145,7 @@
 		replica:     new(bwconfig.Replica),
 		freshness:   new(bwconfig.Freshness),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		pending:     make(map[string]bwmember.Member),
+		pending:     make(map[string]*pendingRequest),
 	}
 	e.peers = bwpeer.NewPeers(bwpeer.DialTCP)
 	for _, o := range options {
--- a/bwentry/receiver.go
+++ b/bwentry/receiver.go
@@ -33,7 +33,9 @@
 	now := e.clock.Now()
 	deadline := now.Add(time.Duration(r.GetBudgetMillis()) * time.Millisecond)
 	e.openAccount(r, now)
+	e.openPending(r.GetRequestId())
 	o := e.handOver(ctx, r, deadline)
+	e.closePending(r.GetRequestId())
 	e.book.Close(r.GetRequestId(), o, true)
 	e.metrics.count(r, o, e.clock.Now().Sub(now))
 	return o
@@ -80,6 +82,9 @@
 			}
 			return firstOf(doubt, bwoutcome.NotRun(choice.Refusal(), max(retryAfter, choice.Wait())))
 		}
+		if !e.setPending(r.GetRequestId(), choice.Member(), doubt != nil) {
+			return firstOf(doubt, bwoutcome.NotRun(bwoutcome.Reason_cancelled, 0))
+		}
 		r.BudgetMillis = budget.Milliseconds()
 		o, isRetry := e.submit(ctx, choice.Member(), r, budget)
 		switch {
@@ -136,8 +141,6 @@
 // submit hands the request to one home and relays the outcome. It reports true when an
 // idempotent request failed there and should run at another home.
 func (e *Entry) submit(ctx context.Context, m bwmember.Member, r *bwpeer.SubmitRequest, budget time.Duration) (*bwoutcome.Outcome, bool) {
-	e.setPending(r.GetRequestId(), m)
-	defer e.clearPending(r.GetRequestId())
 	e.noteForward(r, m)
 	if m.IsSelf() {
 		reply := e.home.Submit(ctx, r)
@@ -196,40 +199,82 @@
 	})
 }
 
-func (e *Entry) setPending(id string, m bwmember.Member) {
+// pendingRequest is a request that this entry has received and not answered.
+type pendingRequest struct {
+	home      bwmember.Member
+	hasHome   bool
+	cancelled bool
+	// doubted is set when an earlier home may have run the request.
+	doubted bool
+}
+
+func (e *Entry) openPending(id string) {
+	e.pendingMu.Lock()
+	defer e.pendingMu.Unlock()
+	e.pending[id] = new(pendingRequest)
+}
+
+// setPending records the home that gets the request next. It reports false when the
+// request was cancelled, and no further home may get it then.
+func (e *Entry) setPending(id string, m bwmember.Member, doubted bool) bool {
 	e.pendingMu.Lock()
 	defer e.pendingMu.Unlock()
-	e.pending[id] = m
+	p := e.pending[id]
+	p.doubted = doubted
+	if p.cancelled {
+		return false
+	}
+	p.home, p.hasHome = m, true
+	return true
 }
 
-func (e *Entry) clearPending(id string) {
+func (e *Entry) closePending(id string) {
 	e.pendingMu.Lock()
 	defer e.pendingMu.Unlock()
 	delete(e.pending, id)
 }
 
-// cancel stops a request that this entry received, wherever it is queued.
-func (e *Entry) cancel(ctx context.Context, id string) bwpeer.CancelResult {
+// cancelPending marks a request as cancelled and returns what is known of it.
+func (e *Entry) cancelPending(id string) (p pendingRequest, ok bool) {
 	e.pendingMu.Lock()
-	m, ok := e.pending[id]
-	e.pendingMu.Unlock()
-	if ok && m.IsSelf() {
-		return e.home.Cancel(id)
-	}
-	if ok {
-		return e.cancelAt(ctx, m.Address(), id)
+	defer e.pendingMu.Unlock()
+	found := e.pending[id]
+	if found == nil {
+		return pendingRequest{}, false
 	}
-	if len(e.book.Find(bwaccount.ByRequest(id))) > 0 {
+	found.cancelled = true
+	return *found, true
+}
+
+// cancel stops a request that this entry received, wherever it is queued. The mark keeps
+// it from going to another home, so the present home's word is the last one.
+func (e *Entry) cancel(ctx context.Context, id string) bwpeer.CancelResult {
+	p, ok := e.cancelPending(id)
+	if !ok && len(e.book.Find(bwaccount.ByRequest(id))) > 0 {
 		return bwpeer.CancelResult_alreadyFinished
 	}
-	return bwpeer.CancelResult_notFound
+	if !ok {
+		return bwpeer.CancelResult_notFound
+	}
+	result := bwpeer.CancelResult_cancelledBeforeStart
+	switch {
+	case p.hasHome && p.home.IsSelf():
+		result = e.home.Cancel(id)
+	case p.hasHome:
+		result = e.cancelAt(ctx, p.home, id)
+	}
+	if p.doubted && result == bwpeer.CancelResult_cancelledBeforeStart {
+		return bwpeer.CancelResult_alreadyRunning
+	}
+	return result
 }
 
-func (e *Entry) cancelAt(ctx context.Context, address, id string) bwpeer.CancelResult {
+// cancelAt asks another entry. Only the run that the request went to can prove anything.
+func (e *Entry) cancelAt(ctx context.Context, m bwmember.Member, id string) bwpeer.CancelResult {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	reply, err := e.peers.Client(ctx, address).Cancel(ctx, &bwpeer.CancelRequest{RequestId: id})
-	if err != nil {
+	reply, err := e.peers.Client(ctx, m.Address()).Cancel(ctx, &bwpeer.CancelRequest{RequestId: id})
+	if err != nil || reply.GetIncarnation() != m.Incarnation() {
 		return bwpeer.CancelResult_notFound
 	}
 	return reply.GetResult()
