bwnode, bwmesh: unanswered questions between nodes are logged

Cause: Node.ask dropped the error of a ping, and the mesh turned failed Survey and Pending calls into an unknown answer without a line. Ruled out: a line for each failure; surveys go out every 150 ms. Change: the mesh returns the error, the node logs each change between answered and not. A test that looks for the line failed before.

--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -82,15 +83,22 @@
 	return m.try(ctx, address, func(ctx context.Context, c DRPCNodeClient) (*JobReply, error) { return c.Cancel(ctx, r) })
 }
 
+// ErrNotOwner says that the node which was asked does not own the pool, or does not know it
+// well enough yet.
+var ErrNotOwner = errors.New("node does not own the pool")
+
 // Pending asks the owner of a pool how many jobs of a queue have not started.
-func (m *Mesh) Pending(ctx context.Context, address, pool, queue string) (int, bool) {
+func (m *Mesh) Pending(ctx context.Context, address, pool, queue string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	reply, err := m.client(ctx, address).Pending(ctx, &JobRequest{Pool: pool, Queue: queue})
-	if err != nil || !reply.GetKnown() {
-		return 0, false
+	if err != nil {
+		return 0, err
+	}
+	if !reply.GetKnown() {
+		return 0, ErrNotOwner
 	}
-	return int(reply.GetPending()), true
+	return int(reply.GetPending()), nil
 }
 
 // try repeats a call until it has an answer or ctx ends.
@@ -169,10 +177,13 @@
 }
 
 // Survey asks the owner of a pool what the pool does.
-func (m *Mesh) Survey(ctx context.Context, address, pool string) (bwupkeep.Survey, bool) {
+func (m *Mesh) Survey(ctx context.Context, address, pool string) (bwupkeep.Survey, error) {
 	reply, err := m.client(ctx, address).Survey(ctx, &SurveyRequest{Pool: pool})
-	if err != nil || !reply.GetKnown() {
-		return bwupkeep.Survey{}, false
+	if err != nil {
+		return bwupkeep.Survey{}, err
+	}
+	if !reply.GetKnown() {
+		return bwupkeep.Survey{}, ErrNotOwner
 	}
 	survey := bwupkeep.Survey{Demand: reply.GetDemand(), Fence: reply.GetFence(), Executors: make(map[string]bwupkeep.ExecutorSurvey)}
 	for _, e := range reply.GetExecutors() {
@@ -182,7 +193,7 @@
 			IsCordoned:  e.GetCordoned(),
 		}
 	}
-	return survey, true
+	return survey, nil
 }
 
 // EncodeSurvey returns an owner's survey for another node.
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -189,6 +189,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.asking, address)
+	n.reach.note(question{call: "ping", address: address}, err)
 	if err != nil {
 		return
 	}
--- a/bwnode/duty.go
+++ b/bwnode/duty.go
@@ -78,7 +78,9 @@
 	case address == "":
 		return bwupkeep.Survey{}, false
 	default:
-		return p.deps.Mesh.Survey(ctx, address, pool)
+		survey, err := p.deps.Mesh.Survey(ctx, address, pool)
+		p.reach.note(question{call: "survey", address: address, pool: pool}, err)
+		return survey, err == nil
 	}
 }
 
--- a/bwnode/fleet_test.go
+++ b/bwnode/fleet_test.go
@@ -353,3 +353,17 @@
 		}
 	})
 }
+
+// A question to a node that has no answer leaves a line, and one more when it has one again.
+func TestUnansweredQuestionsAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2, 3)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		f.kill(0)
+		time.Sleep(2 * time.Second)
+		f.logMu.Lock()
+		defer f.logMu.Unlock()
+		assert.Assert(t, strings.Contains(f.logs.String(), "node does not answer: node=10.0.0.2 call=ping address=10.0.0.1:70"), f.logs.String())
+	})
+}
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -118,6 +118,7 @@
 	ctx           context.Context
 	configuration *bwfleet.Configuration
 	view          *bwownership.View
+	reach         *reach
 	owned         map[string]task
 	claiming      map[string]bool
 	asking        map[string]bool
@@ -141,6 +142,7 @@
 		registrations: make(map[string][]bwexecutor.Registration),
 	}
 	n.log = deps.Log.With("node", identity.Name)
+	n.reach = newReach(n.log)
 	n.lease = newLease(deps.Store, deps.Clock, n.log, n.register)
 	self := bwownership.Member{Incarnation: n.incarnation, Address: identity.Address}
 	n.view = bwownership.NewView(self, deps.Clock.Now())
--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -88,7 +88,9 @@
 	case address == "":
 		return 0, false
 	default:
-		return n.deps.Mesh.Pending(ctx, address, q.Pool, q.Name)
+		pending, err := n.deps.Mesh.Pending(ctx, address, q.Pool, q.Name)
+		n.reach.note(question{call: "pending", address: address, pool: q.Pool}, err)
+		return pending, err == nil
 	}
 }
 
