bwnode: an owner without news of its replacement stops extending leases

A pool's new owner waits until the previous one can no longer extend executors' leases, and counts on 6 s for that. The previous owner checked only that its node's lease at the store was renewed, which says nothing of the pool's key: with the watch of the owners' keys late (there for want of processor time) and no executor that both reach, it extended leases for 40 s. Ruled out: the executors' clocks (leases are absolute times, and both sides' estimates err on the safe side), a stored list without the executor (it was on it). Change: an owner is confirmed only while it has also read the owners' keys within the same 6 s; it says that a job is absent only with news of the last 2.2 s. The same holds for the duty for hosts.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -4,12 +4,17 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwownership"
 )
 
+// newsFor is the age of the keys of owners up to which an owner is sure to be one. A read of
+// them waits for a second; the bound for the state of an accepted job is three seconds.
+const newsFor = 2200 * time.Millisecond
+
 // nodesChanged takes in the keys of nodes and owners.
 func (n *Node) nodesChanged([]bwkv.Item) {
 	items, _ := n.nodes.Items()
@@ -148,8 +153,8 @@
 		Clock:       n.deps.Clock,
 		Log:         n.deps.Log,
 		Metrics:     n.deps.Metrics.Owner(),
-		IsConfirmed: n.lease.isConfirmed,
-		IsFresh:     n.lease.isFresh,
+		IsConfirmed: n.isConfirmed,
+		IsFresh:     n.isFresh,
 		Lost:        n.lost,
 	}, ownership, n.settings)
 	n.followExecutors()
@@ -158,6 +163,19 @@
 	return o
 }
 
+// isConfirmed reports whether what is owned here may still be acted for: the lease cannot
+// have ended, and a replacement less long ago than the same time would not be known. The
+// successor waits for that time.
+func (n *Node) isConfirmed() bool { return n.lease.isConfirmed() && n.hasNews(leaseLength) }
+
+// isFresh reports whether this node is sure to be the owner of what it runs.
+func (n *Node) isFresh() bool { return n.lease.isFresh() && n.hasNews(newsFor) }
+
+// hasNews reports whether the keys of owners were read within the given time.
+func (n *Node) hasNews(d time.Duration) bool {
+	return n.deps.Clock.Now().Sub(n.nodes.FreshAt()) < d
+}
+
 // lost drops the owner of a pool that found out that it was replaced.
 func (n *Node) lost(pool, reason string) {
 	n.mu.Lock()
--- a/bwnode/duty.go
+++ b/bwnode/duty.go
@@ -32,7 +32,7 @@
 		Waves:         n.waves,
 		Configuration: n.Configuration,
 		EncodeStatus:  n.deps.Registry.EncodeWaveStatus,
-		IsConfirmed:   n.lease.isConfirmed,
+		IsConfirmed:   n.isConfirmed,
 		Lost:          func(reason string) { n.lost(dutyHosts, reason) },
 	}, n.upkeep, key, fence, n.dutyLease)
 }
--- a/bwnode/fleet_test.go
+++ b/bwnode/fleet_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 	"basilwood.example/basilwood/bwnode"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwpipe"
+	"basilwood.example/basilwood/bwschedule"
 	"basilwood.example/basilwood/bwseed"
 	"basilwood.example/basilwood/bwstandin"
 	"github.com/hashicorp/go-hclog"
@@ -51,9 +53,53 @@
 
 // member is one running node.
 type member struct {
-	node   *bwnode.Node
-	host   string
-	cancel context.CancelFunc
+	node    *bwnode.Node
+	host    string
+	cancel  context.CancelFunc
+	store   *memberStore
+	workers *memberWorkers
+}
+
+// memberStore is one node's way to the store. Its watches hang while it is blind.
+type memberStore struct {
+	*bwstandin.KV
+	isBlind atomic.Bool
+}
+
+func (s *memberStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bwkv.Item, int64, error) {
+	items, revision, err := s.KV.Watch(ctx, prefix, after, wait)
+	if s.isBlind.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return items, revision, err
+}
+
+// memberWorkers is one node's way to the executors, of which some may be cut off.
+type memberWorkers struct {
+	*bwstandin.Workers
+	cut sync.Map
+}
+
+func (w *memberWorkers) isCut(id string) bool {
+	_, ok := w.cut.Load(id)
+	return ok
+}
+
+func (w *memberWorkers) Hold(ctx context.Context, target bwowner.Target, h bwowner.Hold) bwowner.Answer {
+	if w.isCut(target.ID) {
+		<-ctx.Done()
+		return bwowner.Answer{Result: bwschedule.Unanswered}
+	}
+	return w.Workers.Hold(ctx, target, h)
+}
+
+func (w *memberWorkers) Order(ctx context.Context, target bwowner.Target, o bwschedule.Order, fence, until int64) bwowner.Answer {
+	if w.isCut(target.ID) {
+		<-ctx.Done()
+		return bwowner.Answer{Result: bwschedule.Unanswered}
+	}
+	return w.Workers.Order(ctx, target, o, fence, until)
 }
 
 func newFleet(t *testing.T, seed uint64, nodes, executors int) *fleet {
@@ -123,10 +169,11 @@
 	address := host + ":70"
 	ctx, cancel := context.WithCancel(context.Background())
 	mesh := bwmesh.New(f.network.Dialer(host))
+	store, workers := &memberStore{KV: f.kv}, &memberWorkers{Workers: f.workers}
 	node := bwnode.New(bwnode.Deps{
-		Store:     f.kv,
+		Store:     store,
 		Registry:  registry(),
-		Executors: f.workers,
+		Executors: workers,
 		Mesh:      mesh,
 		Clock:     bwclock.New(),
 		Log:       hclog.New(&hclog.LoggerOptions{Name: host, Level: hclog.Info, Output: f}),
@@ -144,7 +191,7 @@
 		node.Run(ctx)
 		mesh.Close()
 	}()
-	f.nodes = append(f.nodes, &member{node: node, host: host, cancel: cancel})
+	f.nodes = append(f.nodes, &member{node: node, host: host, cancel: cancel, store: store, workers: workers})
 }
 
 // kill ends a node at once and starts another one.
@@ -367,3 +414,43 @@
 		assert.Assert(t, strings.Contains(f.logs.String(), "node does not answer: node=10.0.0.2 call=ping address=10.0.0.1:70"), f.logs.String())
 	})
 }
+
+// runs reports whether the node runs a pool.
+func (m *member) runs(pool string) bool {
+	for _, p := range m.node.Dump().Pools {
+		if p.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// An owner that renews its lease but gets no news of its replacement stops extending the
+// executors' leases before its successor counts on that.
+func TestReplacedOwnerWithoutNewsStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2, 2)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		old, next := f.nodes[0], f.nodes[1]
+		if next.runs("desk") {
+			old, next = next, old
+		}
+		// The old owner reaches the first executor only, the new one the second.
+		old.workers.cut.Store("desk-1", true)
+		next.workers.cut.Store("desk-0", true)
+		time.Sleep(5 * time.Second)
+		spec := &bwjob.Spec{ID: "job", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
+		f.workers.Expect(spec)
+		reply := old.node.Submit(t.Context(), f.queues[0], spec)
+		assert.Equal(t, reply.Verdict, bwowner.OK)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.workers.Running(), 1)
+		old.store.isBlind.Store(true)
+		f.network.Isolate(old.host)
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, next.runs("desk"))
+		assert.Equal(t, f.workers.Running(), 1)
+		assert.Equal(t, len(f.workers.Violations()), 0, "%v", f.workers.Violations())
+	})
+}
