bwowner, bwschedule: a pass gathers the events of 10 ms

Cause: each report, answer and submission made a pass of its own over all jobs, and each task that lasts counted the runs of every executor again. A full pool has several hundred events a second; after the loss of all nodes one node loads several pools and makes these passes in short bursts, while its share of a core is used up. Change: events ask for a pass; one goroutine makes them, 10 ms apart at least. Leases, the list of executors and the pace are looked at every 50 ms. A step that needs more than any executor has free is passed over, and runs are counted once a step.

--- a/bwjob/spec.go
+++ b/bwjob/spec.go
@@ -41,6 +41,11 @@
 	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger of r and o in each kind.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), MemoryMB: max(r.MemoryMB, o.MemoryMB), Accelerators: max(r.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether need is no more than r in each kind.
 func (r Resources) Fits(need Resources) bool {
 	return need.CPU <= r.CPU && need.MemoryMB <= r.MemoryMB && need.Accelerators <= r.Accelerators
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -209,5 +209,5 @@
 			e.Admit(true)
 		}
 	}
-	o.pass()
+	o.change()
 }
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -29,6 +29,12 @@
 const (
 	// tickInterval is the time between passes that no event has caused.
 	tickInterval = 100 * time.Millisecond
+	// passPause is the least time between two passes. It gathers events that come close
+	// together; a full pool of 85 executors has more than a thousand events a second.
+	passPause = 10 * time.Millisecond
+	// reviewInterval is the least time between two looks at leases, the list of executors and
+	// the pace of tasks. It is short beside the margin of a lease.
+	reviewInterval = 50 * time.Millisecond
 	// lazyFlush is how long a changed record of an unfinished job may wait to be stored. It
 	// is a quarter of the time that executors' ends may wait for their acknowledgement.
 	lazyFlush = 900 * time.Millisecond
@@ -126,6 +132,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
+	changed   chan struct{}
 	group     sync.WaitGroup
 	lostOnce  sync.Once
 
@@ -143,6 +150,7 @@
 	isReady    bool
 	isStopping bool
 	flushedAt  bwclock.Time
+	reviewedAt bwclock.Time
 	sweptAt    bwclock.Time
 }
 
@@ -158,6 +166,7 @@
 		settings:      settings,
 		log:           log,
 		done:          make(chan struct{}),
+		changed:       make(chan struct{}, 1),
 		scheduler:     bwschedule.New(log),
 		sessions:      make(map[string]*session),
 		registrations: make(map[string]bwexecutor.Registration),
@@ -197,24 +206,35 @@
 		defer o.group.Done()
 		o.commits.Run(o.ctx)
 	}()
-	o.tick(o.ctx)
+	o.change()
+	o.work(o.ctx)
 	o.group.Wait()
 	o.log.Info("pool given up")
 }
 
-// tick passes time to the scheduler.
-func (o *Owner) tick(ctx context.Context) {
+// work makes a pass after each event, and at times without one, until ctx ends.
+func (o *Owner) work(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-o.changed:
 		case <-t.C:
-			o.mu.Lock()
-			o.pass()
-			o.mu.Unlock()
 		}
+		o.mu.Lock()
+		o.pass()
+		o.mu.Unlock()
+		bwclock.Sleep(ctx, passPause)
+	}
+}
+
+// change asks for a pass soon.
+func (o *Owner) change() {
+	select {
+	case o.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -224,19 +244,32 @@
 		return
 	}
 	now := o.deps.Clock.Now()
+	if now.Sub(o.reviewedAt) >= reviewInterval {
+		o.review(now)
+	}
+	if o.mayOrder() {
+		o.dispatch(o.scheduler.Schedule(now))
+		o.askAdvice()
+	}
+	o.flush(now, o.scheduler.HasEndedDirty() || o.isStopping)
+}
+
+// review does what need not follow each event. The caller holds the lock.
+func (o *Owner) review(now bwclock.Time) {
+	o.reviewedAt = now
 	for _, id := range o.scheduler.Expire(now) {
 		o.endSession(id)
 	}
 	o.storeKnown(now)
-	if !o.isStopping && o.deps.IsConfirmed() {
+	if o.mayOrder() {
 		o.scheduler.AdjustPace(now)
-		o.dispatch(o.scheduler.Schedule(now))
-		o.askAdvice()
 	}
-	o.flush(now, o.scheduler.HasEndedDirty() || o.isStopping)
 	o.sweep(now)
 }
 
+// mayOrder reports whether this owner still acts for the pool.
+func (o *Owner) mayOrder() bool { return !o.isStopping && o.deps.IsConfirmed() }
+
 // dispatch hands orders to the sessions of their executors.
 func (o *Owner) dispatch(orders []bwschedule.Order) {
 	for _, order := range orders {
@@ -264,7 +297,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.scheduler.Advised(q, answer, err == nil, asked)
-		o.pass()
+		o.change()
 	}()
 }
 
@@ -285,7 +318,7 @@
 	}
 	if o.isReady {
 		o.syncExecutors()
-		o.pass()
+		o.change()
 	}
 }
 
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -140,7 +140,7 @@
 	o.log.Info("job submitted", "job", j.ID(), "queue", j.Spec().Queue, "verdict", s.reply.Verdict.String(),
 		"took", o.deps.Clock.Now().Sub(j.AcceptedAt()).String())
 	close(s.done)
-	o.pass()
+	o.change()
 }
 
 // State returns the state of a job.
@@ -227,7 +227,7 @@
 		stored <- f
 	}
 	o.commits.Add(w)
-	o.pass()
+	o.change()
 	return stored, Reply{}
 }
 
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -179,7 +179,7 @@
 	o.heard(order.Executor, answer, now)
 	o.scheduler.Finished(order, answer.Result, now)
 	if answer.Result != bwschedule.Accepted {
-		o.pass()
+		o.change()
 	}
 }
 
@@ -289,11 +289,11 @@
 		o.heard(target.ID, answer, now)
 		o.coverLease(target.ID, now)
 		o.deps.Metrics.observeReport(now.Sub(sent))
-		o.pass()
+		o.change()
 		return true
 	case bwschedule.OtherIncarnation:
 		o.scheduler.Restarted(target.ID)
-		o.pass()
+		o.change()
 	default:
 		if e := o.scheduler.Executor(target.ID); e != nil {
 			e.MissedReport()
--- a/bwschedule/gang.go
+++ b/bwschedule/gang.go
@@ -38,6 +38,7 @@
 			return chosen, false
 		}
 		e.Add(&bwexecutor.Run{Task: p.taskID(i), Reserved: need})
+		p.placed(e)
 		chosen = append(chosen, e)
 	}
 	return chosen, true
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -28,6 +28,7 @@
 	s.kept = make(map[string]bool)
 	s.isCrowded = false
 	candidates := s.candidates(now)
+	s.largest = largestRoom(candidates)
 	for _, c := range s.inOrder(now) {
 		j := c.job
 		j.EachDue(func(o *bwjob.Occurrence, step int) {
@@ -50,6 +51,15 @@
 	return list
 }
 
+// largestRoom returns the most of each resource that is free at any executor.
+func largestRoom(candidates []*bwexecutor.Executor) bwjob.Resources {
+	var largest bwjob.Resources
+	for _, e := range candidates {
+		largest = largest.Max(e.Free())
+	}
+	return largest
+}
+
 // isHeldBack reports whether the task of a loaded job may still run where the previous
 // owner started it.
 func (s *Scheduler) isHeldBack(j *bwjob.Job) bool {
@@ -60,6 +70,10 @@
 	if s.isHeldBack(j) {
 		return
 	}
+	if !s.largest.Fits(j.Spec().Steps[step].Reserved()) && !j.Spec().Steps[step].LongRunning && now.Sub(j.AcceptedAt()) < keepRoomAfter {
+		s.isCrowded = true
+		return
+	}
 	p := placement{s: s, job: j, occurrence: o, step: step, now: now}
 	p.candidates = p.eligible(candidates)
 	if j.Spec().Steps[step].Gang {
@@ -79,6 +93,7 @@
 			return
 		}
 		s.start(j, id, e, tasks[i].Run()+1, now)
+		p.placed(e)
 	}
 }
 
@@ -102,16 +117,18 @@
 	step       int
 	now        bwclock.Time
 	candidates []*bwexecutor.Executor
+	// atExecutor and atRack count the runs of the step, and lasting those of tasks that
+	// last; nil until they are needed.
+	atExecutor map[string]int
+	atRack     map[string]int
+	lasting    map[string]int
 }
 
 // eligible returns the executors that may run the step at all, without regard to room.
-func (p *placement) eligible(all []*bwexecutor.Executor) []*bwexecutor.Executor {
+func (p *placement) eligible(list []*bwexecutor.Executor) []*bwexecutor.Executor {
 	step := p.job.Spec().Steps[p.step]
-	var list []*bwexecutor.Executor
-	for _, e := range all {
-		if e.Registration().HasLabel(step.Label) {
-			list = append(list, e)
-		}
+	if step.Label != "" {
+		list = withLabel(list, step.Label)
 	}
 	if p.s.queues[p.job.Spec().Queue].NeedsAdvice {
 		list = p.advised(list)
@@ -122,6 +139,16 @@
 	return list
 }
 
+func withLabel(all []*bwexecutor.Executor, label string) []*bwexecutor.Executor {
+	var list []*bwexecutor.Executor
+	for _, e := range all {
+		if e.Registration().HasLabel(label) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // advised returns the executors that the policy service allows, and asks it if needed.
 func (p *placement) advised(list []*bwexecutor.Executor) []*bwexecutor.Executor {
 	id := StepID{Job: p.job.ID(), Occurrence: p.occurrence.Index(), Step: p.step}
@@ -220,25 +247,48 @@
 	return limit == 0 || p.onExecutor(e) < limit
 }
 
-// onExecutor counts the runs of the step at an executor.
-func (p *placement) onExecutor(e *bwexecutor.Executor) int {
-	n := 0
-	for id := range e.Runs() {
-		if stepOf(id) == (StepID{Job: p.job.ID(), Occurrence: p.occurrence.Index(), Step: p.step}) {
-			n++
+// count counts what runs at all executors, once for each step.
+func (p *placement) count() {
+	if p.atExecutor != nil {
+		return
+	}
+	p.atExecutor, p.atRack, p.lasting = make(map[string]int), make(map[string]int), make(map[string]int)
+	self := StepID{Job: p.job.ID(), Occurrence: p.occurrence.Index(), Step: p.step}
+	for id, e := range p.s.executors {
+		for task, r := range e.Runs() {
+			if stepOf(task) == self {
+				p.atExecutor[id]++
+				p.atRack[e.Registration().Rack]++
+			}
+			if p.s.isLongRunning(r) {
+				p.lasting[id]++
+			}
 		}
 	}
-	return n
 }
 
-func (p *placement) onRack(rack string) int {
-	n := 0
-	for _, e := range p.s.executors {
-		if e.Registration().Rack == rack {
-			n += p.onExecutor(e)
-		}
+// placed counts a task that was just placed.
+func (p *placement) placed(e *bwexecutor.Executor) {
+	if p.atExecutor == nil {
+		return
+	}
+	p.atExecutor[e.ID()]++
+	p.atRack[e.Registration().Rack]++
+	if p.job.Spec().Steps[p.step].LongRunning {
+		p.lasting[e.ID()]++
 	}
-	return n
+}
+
+// onExecutor returns the number of runs of the step at an executor.
+func (p *placement) onExecutor(e *bwexecutor.Executor) int {
+	p.count()
+	return p.atExecutor[e.ID()]
+}
+
+// onRack returns the number of runs of the step in a rack.
+func (p *placement) onRack(rack string) int {
+	p.count()
+	return p.atRack[rack]
 }
 
 // score orders executors for a task; the smallest is the best.
@@ -292,13 +342,7 @@
 	if same >= max(1, (step.Count+stepParts-1)/stepParts) {
 		return same
 	}
-	lasting := 0
-	for _, r := range e.Runs() {
-		if p.s.isLongRunning(r) {
-			lasting++
-		}
-	}
-	return -lasting
+	return -p.lasting[e.ID()]
 }
 
 // jobInOrder is a job with what decides its place in the order.
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -34,15 +34,19 @@
 	jobs      map[string]*bwjob.Job
 	active    map[string]*bwjob.Job
 	executors map[string]*bwexecutor.Executor
-	dirty     map[string]bool
-	orders    []Order
-	advice    *adviceBook
+	// ids are the executors' ids in order; nil after a change.
+	ids    []string
+	dirty  map[string]bool
+	orders []Order
+	advice *adviceBook
 	// calmAt is when the stops of a previous owner have ended.
 	calmAt bwclock.Time
 	// isCrowded is set while a due task finds no room.
 	isCrowded bool
 	// kept holds the executors whose room waits for a large task in this pass.
 	kept map[string]bool
+	// largest is the most of each resource that was free at any executor when this pass began.
+	largest bwjob.Resources
 
 	// unresolved holds the executors that a previous owner used and that may still run
 	// tasks of loaded jobs, with the time at which all its leases have ended.
@@ -160,14 +164,17 @@
 // Executor returns the ledger of an executor, or nil.
 func (s *Scheduler) Executor(id string) *bwexecutor.Executor { return s.executors[id] }
 
-// Executors returns the ids of all executors in order.
+// Executors returns the ids of all executors in order. The caller must not change the list.
 func (s *Scheduler) Executors() []string {
-	ids := make([]string, 0, len(s.executors))
+	if s.ids != nil {
+		return s.ids
+	}
+	s.ids = make([]string, 0, len(s.executors))
 	for id := range s.executors {
-		ids = append(ids, id)
+		s.ids = append(s.ids, id)
 	}
-	sort.Strings(ids)
-	return ids
+	sort.Strings(s.ids)
+	return s.ids
 }
 
 // Register takes in what the registry says of an executor.
@@ -180,6 +187,7 @@
 		return
 	}
 	s.executors[r.ID] = bwexecutor.New(r)
+	s.ids = nil
 	s.log.Info("executor joined", "executor", r.ID, "address", r.Address, "incarnation", r.Incarnation, "rack", r.Rack)
 }
 
@@ -210,6 +218,7 @@
 		}
 		if !e.IsRegistered() && len(e.Runs()) == 0 && s.unresolved[id] == bwclock.Never {
 			delete(s.executors, id)
+			s.ids = nil
 			gone = append(gone, id)
 		}
 	}
