cmd: the collector runs when the heap has grown fivefold

Cause: with a heap of a few megabytes the collector ran many times a second. Ruled out: a fixed ballast; the memory limit stays as the upper bound. Change: collectPercent 400.

--- a/cmd/basilwood-node/main.go
+++ b/cmd/basilwood-node/main.go
@@ -15,6 +15,10 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+// collectPercent is how much the heap grows between two collections. The heap is a few
+// megabytes of the host's hundreds, so that processor time is worth more than memory.
+const collectPercent = 400
+
 // heapPercent is the share of the host's memory that the heap may take; the rest is for
 // stacks, the log's queue and what the system holds for the process.
 const heapPercent = 60
@@ -39,6 +43,7 @@
 	}
 	// The platform gives a process a part of one core, whatever the machine has.
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(s.MemoryMB << 20 * heapPercent / 100)
 	out := bwlog.NewWriter(os.Stdout)
 	log := bwlog.New("node", hclog.LevelFromString(*level), out)
