bwupkeep: a new duty holder waits only for hosts that were ordered of late

Cause: a new holder of the duty for hosts gave no order for 3 s, so that no host had two holders in turns. Change: the holder writes a list of the hosts that it is about to order, fenced by its key, before the orders, and takes hosts off it when they are old enough. The next holder reads it, leaves those alone for 3 s, counts them as down for waves, and orders the others at once.

--- a/bwupkeep/duty.go
+++ b/bwupkeep/duty.go
@@ -71,11 +71,12 @@
 	deps  Deps
 	key   string
 	fence int64
-	// quiet is how long the duty waits before its first order, so that two holders do not
-	// take turns.
-	quiet   time.Duration
-	log     hclog.Logger
-	planner *Planner
+	// quiet is how long the duty waits with hosts that the earlier holder may have ordered,
+	// so that two holders do not take turns.
+	quiet     time.Duration
+	announced *announcer
+	log       hclog.Logger
+	planner   *Planner
 	// revisions are those of the stored progress of waves.
 	revisions map[int64]int64
 	ctx       context.Context
@@ -106,7 +107,6 @@
 	defer close(d.done)
 	defer context.AfterFunc(ctx, d.cancel)()
 	d.log.Info("duty taken over", "quiet", d.quiet.String())
-	started := d.deps.Clock.Now()
 	t := time.NewTicker(planInterval)
 	defer t.Stop()
 	for {
@@ -117,8 +117,9 @@
 		case <-t.C:
 		}
 		d.observe()
-		if d.deps.Clock.Now().Sub(started) >= d.quiet && d.deps.IsConfirmed() {
+		if (d.announced != nil || d.inherit()) && d.deps.IsConfirmed() {
 			d.carryOut(d.planner.Plan(d.deps.Clock.Now()))
+			d.forget()
 		}
 	}
 }
@@ -232,6 +233,9 @@
 // give carries out actions side by side. It returns the moves of hosts that turned out to be
 // empty when they were cordoned.
 func (d *Duty) give(actions []Action) []Action {
+	if !d.announce(actions) {
+		actions = withoutOrders(actions)
+	}
 	results := make([]Result, len(actions))
 	emptied := make([]bool, len(actions))
 	var wait sync.WaitGroup
@@ -255,8 +259,11 @@
 		switch a.Kind {
 		case Maintain, Move:
 			d.log.Info("host ordered", "host", a.Host, "pool", a.Pool, "wave", a.Wave, "reason", a.Reason, "result", results[i].String())
+			if results[i] == Unanswered {
+				d.unanswered(a.Host)
+			}
 			if results[i] == Fenced {
-				d.lost()
+				d.lost("a host has seen a newer fencing token")
 			}
 			if d.planner.Finished(a, results[i]) {
 				changed[a.Wave] = true
@@ -275,14 +282,25 @@
 	return moves
 }
 
-// lost ends the duty: a host has orders of a newer holder.
-func (d *Duty) lost() {
+// withoutOrders returns the actions that order no host.
+func withoutOrders(actions []Action) []Action {
+	var rest []Action
+	for _, a := range actions {
+		if a.Kind != Maintain && a.Kind != Move {
+			rest = append(rest, a)
+		}
+	}
+	return rest
+}
+
+// lost ends the duty.
+func (d *Duty) lost(reason string) {
 	if d.ctx.Err() != nil {
 		return
 	}
-	d.log.Warn("duty lost", "reason", "a host has seen a newer fencing token")
+	d.log.Warn("duty lost", "reason", reason)
 	d.cancel()
-	go d.deps.Lost("a host has seen a newer fencing token")
+	go d.deps.Lost(reason)
 }
 
 // order carries out one action; a cordon also reports whether the executor is empty.
--- a/bwupkeep/planner.go
+++ b/bwupkeep/planner.go
@@ -81,6 +81,9 @@
 	executor string
 	at       bwclock.Time
 	isSure   bool
+	// keptUntil is set for an order that an earlier holder may have given; what it was is
+	// not known.
+	keptUntil bwclock.Time
 }
 
 type wave struct {
@@ -177,6 +180,9 @@
 	if !ok {
 		return true
 	}
+	if o.keptUntil != bwclock.Never {
+		return !askedAt.Before(o.keptUntil) && h.State == bwfleet.HostUp
+	}
 	if askedAt.Sub(o.at) < listLag || h.State != bwfleet.HostUp {
 		return false
 	}
@@ -198,6 +204,14 @@
 	p.orders[a.Host] = &order{kind: a.Kind, wave: a.Wave, pool: a.Pool, executor: p.hosts[a.Host].Executor, at: now}
 }
 
+// Keep lets hosts alone that an earlier holder may have ordered. They count as down for a
+// wave until then.
+func (p *Planner) Keep(hosts []string, until bwclock.Time) {
+	for _, id := range hosts {
+		p.orders[id] = &order{kind: Maintain, keptUntil: until}
+	}
+}
+
 // Finished takes in the result of an order. It returns true when a wave got further.
 func (p *Planner) Finished(a Action, r Result) bool {
 	o := p.orders[a.Host]
@@ -418,9 +432,15 @@
 func (p *Planner) supply(pool string) int {
 	n := 0
 	for id, h := range p.hosts {
-		if h.Pool == pool && p.orders[id] == nil && !p.isCordoned(h) && (h.State == bwfleet.HostUp || h.State == bwfleet.HostMoving) {
+		if h.Pool == pool && !p.isLeaving(id) && !p.isCordoned(h) && (h.State == bwfleet.HostUp || h.State == bwfleet.HostMoving) {
 			n++
 		}
 	}
 	return n
 }
+
+// isLeaving reports whether a host was ordered away here.
+func (p *Planner) isLeaving(id string) bool {
+	o := p.orders[id]
+	return o != nil && o.keptUntil == bwclock.Never
+}
