bwschedule: the demand for hosts follows the rate of arriving work and its trend

Cause: the demand was what the due tasks would fill now. Change: the work of the jobs that came in the last 0.6 s, extended by its trend to the time at which a host can be there. With fewer than four jobs the rate is taken over 2 s.

--- a/bwschedule/evacuate.go
+++ b/bwschedule/evacuate.go
@@ -123,28 +123,42 @@
 		capacity.CPU = max(capacity.CPU, e.Registration().Capacity.CPU)
 		capacity.MemoryMB = max(capacity.MemoryMB, e.Registration().Capacity.MemoryMB)
 	}
-	survey.Demand = s.demand(capacity)
+	survey.Demand = s.demand(capacity, now)
 	return survey
 }
 
-// demand returns how many executors of the given capacity the due tasks would fill.
-func (s *Scheduler) demand(capacity bwjob.Resources) float64 {
-	var need bwjob.Resources
+// hostLead is the time from a rise of the demand until a host that is moved for it takes
+// tasks: the survey, the order, the move and the first report.
+const hostLead = 2 * time.Second
+
+// demand returns how many executors of the given capacity the due tasks would fill, or will
+// soon.
+func (s *Scheduler) demand(capacity bwjob.Resources, now bwclock.Time) float64 {
+	if capacity.CPU == 0 || capacity.MemoryMB == 0 {
+		return 0
+	}
+	lasting, due := s.due()
+	need := lasting.plus(due.atLeast(s.arrivals.forecast(now, hostLead)))
+	return max(need.cpu/float64(capacity.CPU), need.memory/float64(capacity.MemoryMB))
+}
+
+// due returns what the due tasks hold or would hold, those that last apart.
+func (s *Scheduler) due() (lasting, others work) {
 	for _, j := range s.active {
 		j.EachOpen(func(o *bwjob.Occurrence) {
 			for i, step := range j.Spec().Steps {
 				if !o.IsReleased(j.Spec(), i) {
 					continue
 				}
-				n := int64(o.Undone(i))
 				r := step.Reserved()
-				need.CPU += n * r.CPU
-				need.MemoryMB += n * r.MemoryMB
+				need := work{cpu: float64(r.CPU), memory: float64(r.MemoryMB)}.times(float64(o.Undone(i)))
+				if step.LongRunning {
+					lasting = lasting.plus(need)
+				} else {
+					others = others.plus(need)
+				}
 			}
 		})
 	}
-	if capacity.CPU == 0 || capacity.MemoryMB == 0 {
-		return 0
-	}
-	return max(float64(need.CPU)/float64(capacity.CPU), float64(need.MemoryMB)/float64(capacity.MemoryMB))
+	return lasting, others
 }
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -35,10 +35,11 @@
 	active    map[string]*bwjob.Job
 	executors map[string]*bwexecutor.Executor
 	// ids are the executors' ids in order; nil after a change.
-	ids    []string
-	dirty  map[string]bool
-	orders []Order
-	advice *adviceBook
+	ids      []string
+	dirty    map[string]bool
+	orders   []Order
+	advice   *adviceBook
+	arrivals arrivals
 	// calmAt is when the stops of a previous owner have ended.
 	calmAt bwclock.Time
 	// isCrowded is set while a due task finds no room.
@@ -102,6 +103,7 @@
 	}
 	s.jobs[j.ID()] = j
 	s.active[j.ID()] = j
+	s.arrivals.add(j.Spec(), j.AcceptedAt())
 	return true
 }
 
