bwownership: pools go to the nodes with the most processor

Cause: on the grown sites six machines have 0.8 of a core and 29 have 0.192. Pools went to any of them; at 150 jobs and 1,000 starts a second the owner of lot-ledger, on a weak one, answered neither callers nor pings (1,527 calls without an answer in time). Ruled out: the store (1,200 writes a second are not reached), placement. Equal hosts are ordered as before.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -29,7 +29,7 @@
 		if pool, ok := strings.CutPrefix(key, prefixOwners); ok {
 			owners[pool] = bwownership.Owner{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, IsReleased: v.IsReleased}
 		} else if strings.HasPrefix(key, prefixMembers) {
-			members = append(members, bwownership.Member{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision})
+			members = append(members, bwownership.Member{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, Power: v.Power})
 		}
 	}
 	n.mu.Lock()
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -88,6 +88,8 @@
 	Name string
 	// Address is where other nodes connect.
 	Address string
+	// Power is the processor that the host gives the node, in cores.
+	Power float64
 }
 
 // keyValue is the value of a node's or an owner's key.
@@ -95,6 +97,8 @@
 	Name        string `json:"name"`
 	Incarnation string `json:"incarnation"`
 	Address     string `json:"address"`
+	// Power is the processor of the node's host, in cores.
+	Power float64 `json:"power,omitempty"`
 	// IsReleased marks the key of an owner that has stopped, for its successor.
 	IsReleased bool `json:"isReleased,omitempty"`
 }
@@ -144,7 +148,7 @@
 	n.log = deps.Log.With("node", identity.Name)
 	n.reach = newReach(n.log)
 	n.lease = newLease(deps.Store, deps.Clock, n.log, n.register)
-	self := bwownership.Member{Incarnation: n.incarnation, Address: identity.Address}
+	self := bwownership.Member{Incarnation: n.incarnation, Address: identity.Address, Power: identity.Power}
 	n.view = bwownership.NewView(self, deps.Clock.Now())
 	n.nodes = bwmirror.New(deps.Store, prefixNodes, deps.Clock, n.log, bwmirror.WithOnChange(n.nodesChanged))
 	n.operators = bwmirror.New(deps.Store, deps.Registry.OperatorPrefix, deps.Clock, n.log, bwmirror.WithOnChange(n.operatorsChanged))
@@ -223,7 +227,7 @@
 }
 
 func (n *Node) keyValue() keyValue {
-	return keyValue{Name: n.identity.Name, Incarnation: n.incarnation, Address: n.identity.Address}
+	return keyValue{Name: n.identity.Name, Incarnation: n.incarnation, Address: n.identity.Address, Power: n.identity.Power}
 }
 
 // operatorsChanged takes in what operators have written.
--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -48,6 +48,17 @@
 	Address     string
 	// Revision orders the runs of nodes at one address.
 	Revision int64
+	// Power is the processor that the node's host gives it, in cores; 0 counts as one core.
+	Power float64
+}
+
+// burden returns how full the node would be with one more pool.
+func (m Member) burden(load map[string]int) float64 {
+	power := m.Power
+	if power <= 0 {
+		power = 1
+	}
+	return float64(load[m.Incarnation]+1) / power
 }
 
 // Owner is the owner of a pool by its key.
@@ -236,10 +247,10 @@
 	}
 }
 
-// isBefore orders the successors for a pool: those with the fewest pools first, then by
-// rendezvous hashing.
+// isBefore orders the successors for a pool: those with the fewest pools for their power
+// first, then by rendezvous hashing.
 func isBefore(pool string, a, b Member, load map[string]int) bool {
-	if la, lb := load[a.Incarnation], load[b.Incarnation]; la != lb {
+	if la, lb := a.burden(load), b.burden(load); la != lb {
 		return la < lb
 	}
 	weight := func(m Member) uint64 { return xxhash.Sum64String(pool + "\x00" + m.Incarnation) }
--- a/bwownership/view_test.go
+++ b/bwownership/view_test.go
@@ -163,3 +163,21 @@
 	_, isOwned := v.Owner("a")
 	assert.Equal(t, isOwned, false)
 }
+
+// Pools go to the nodes with the most processor until these have their share.
+func TestStrongNodesOwnMore(t *testing.T) {
+	members := []bwownership.Member{member("strong", 1), member("weak", 1)}
+	members[0].Power, members[1].Power = 0.8, 0.192
+	claimed := make(map[string]int)
+	after := make(map[string]time.Duration)
+	for _, self := range members {
+		v := bwownership.NewView(self, start)
+		v.SetMembers(members)
+		var claims []bwownership.Claim
+		claims, after[self.Incarnation] = pass(v, start, time.Second, nil)
+		claimed[self.Incarnation] = len(claims)
+	}
+	assert.Equal(t, claimed["strong"], 3)
+	// The weak node would come later, if the strong one did not come at all.
+	assert.Assert(t, after["weak"] >= after["strong"]+200*time.Millisecond, "strong after %s, weak after %s", after["strong"], after["weak"])
+}
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -90,7 +90,7 @@
 	if s.HostsAddress != "" {
 		deps.Hosts = platform.NewHosts(s.HostsAddress, s.Node, log)
 	}
-	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress}, bwnode.Settings{
+	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress, Power: s.Power}, bwnode.Settings{
 		Owner:     bwowner.Settings{LeaseLength: min(executorLease, s.HoldMax), StopTime: s.StopTime, KeepEnded: s.KeepEnded},
 		Upkeep:    bwupkeep.Settings{Maintenance: s.Maintenance, Move: s.Move},
 		DutyLease: s.DutyLease,
