bwownership: a successor asks an owner before it calls it silent

Cause: only the first eight successors ask an owner. Ruled out: processor time (owners answered others), the store (claims went through). Change: silence, a pool that does not run and a lost store count from the moment since which this node asks without a break; an owner that it does not ask is never suspected.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -193,7 +193,7 @@
 	if n.configuration == nil || n.isStopping {
 		return
 	}
-	for _, address := range n.view.Ask(n.duties()) {
+	for _, address := range n.view.Ask(n.duties(), n.deps.Clock.Now()) {
 		if n.asking[address] {
 			continue
 		}
--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -111,9 +111,11 @@
 	// ownedSince is when the latest owner of each pool was first seen.
 	ownedSince map[string]bwclock.Time
 	heard      map[string]*heard
-	suspects   map[string]suspicion
-	started    bwclock.Time
-	decided    bwclock.Time
+	// asked tells since when each address is asked without a break.
+	asked    map[string]bwclock.Time
+	suspects map[string]suspicion
+	started  bwclock.Time
+	decided  bwclock.Time
 }
 
 // NewView returns the view of a node that starts now.
@@ -124,6 +126,7 @@
 		last:       make(map[string]Owner),
 		ownedSince: make(map[string]bwclock.Time),
 		heard:      make(map[string]*heard),
+		asked:      make(map[string]bwclock.Time),
 		suspects:   make(map[string]suspicion),
 		started:    now,
 		decided:    now,
@@ -182,10 +185,11 @@
 	}
 }
 
-// Ask returns the addresses of the owners that this node should question.
-func (v *View) Ask(pools []string) []string {
+// Ask returns the addresses of the owners that this node should question now.
+func (v *View) Ask(pools []string, now bwclock.Time) []string {
 	seen := make(map[string]bool)
 	var list []string
+	defer func() { v.noteAsked(seen, now) }()
 	load := v.load()
 	for _, pool := range pools {
 		o, ok := v.Owner(pool)
@@ -198,6 +202,20 @@
 	return list
 }
 
+// noteAsked forgets the addresses that are not asked any more: their silence proves nothing.
+func (v *View) noteAsked(asked map[string]bool, now bwclock.Time) {
+	for address := range v.asked {
+		if !asked[address] {
+			delete(v.asked, address)
+		}
+	}
+	for address := range asked {
+		if _, ok := v.asked[address]; !ok {
+			v.asked[address] = now
+		}
+	}
+}
+
 // Decide returns the claims that this node should make now. running tells the pools whose
 // owner runs in this process, with the revision of its key.
 func (v *View) Decide(pools []string, running map[string]int64, now bwclock.Time) []Claim {
@@ -268,6 +286,9 @@
 	for pool := range v.ownedSince {
 		v.ownedSince[pool] = now
 	}
+	for address := range v.asked {
+		v.asked[address] = now
+	}
 	v.suspects = make(map[string]suspicion)
 }
 
@@ -307,7 +328,11 @@
 	if owner.Incarnation == v.self.Incarnation {
 		return "own key without an owner here", false
 	}
-	since := v.ownedSince[pool]
+	askedSince, isAsked := v.asked[owner.Address]
+	if !isAsked {
+		return "", false
+	}
+	since := max(v.ownedSince[pool], askedSince)
 	h := v.heard[owner.Address]
 	if h == nil {
 		h = &heard{answer: Answer{Incarnation: owner.Incarnation}}
--- a/bwownership/view_test.go
+++ b/bwownership/view_test.go
@@ -1,6 +1,7 @@
 package bwownership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,6 +39,7 @@
 		if each != nil {
 			each(now)
 		}
+		v.Ask(pools, now)
 		if claims := v.Decide(pools, nil, now); len(claims) > 0 {
 			return claims, t
 		}
@@ -181,3 +183,25 @@
 	// The weak node would come later, if the strong one did not come at all.
 	assert.Assert(t, after["weak"] >= after["strong"]+200*time.Millisecond, "strong after %s, weak after %s", after["strong"], after["weak"])
 }
+
+// A node that becomes one of the successors has not asked the owner before. It finds out
+// first whether the owner is silent.
+func TestNewSuccessorAsksBeforeItClaims(t *testing.T) {
+	self, other := member("self", 1), member("other", 1)
+	self.Power, other.Power = 0.1, 1
+	v := bwownership.NewView(self, start)
+	members := []bwownership.Member{self, other}
+	for i := range 20 {
+		m := member(fmt.Sprintf("n%02d", i), 1)
+		m.Power = 1
+		members = append(members, m)
+	}
+	v.SetMembers(members)
+	ownAll(v, "other")
+	claims, _ := pass(v, start, 20*time.Second, nil)
+	assert.Equal(t, len(claims), 0, "there are 20 better successors")
+	v.SetMembers(members[:2])
+	claims, after := pass(v, start.Add(20*time.Second), 20*time.Second, nil)
+	assert.Equal(t, len(claims), 3)
+	assert.Assert(t, after >= 900*time.Millisecond, "claimed after %s", after)
+}
