bwschedule, bwexecutor: a pass over a long backlog costs a seventh

Cause: an old job's step that fits nowhere was compared with every executor twice in each pass, to place it and to keep room, even when no more room may be kept. With 500 waiting jobs and 257 executors a pass took 4.7 ms, a hundred times a second. Change: the largest free room decides first; room is kept only while it may be; jobs without due tasks are left out of the order, which is sorted without reflection; runs of unknown size are counted. BenchmarkLatePass, 12, 60 and 257 executors: 344, 808 and 4704 us to 169, 199 and 666 us.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -65,6 +65,8 @@
 	incarnation  int64
 	runs         map[bwjob.TaskID]*Run
 	used         bwjob.Resources
+	// unsized counts the runs of which it is not known what they take.
+	unsized int
 
 	clock      int64
 	clockAt    bwclock.Time
@@ -136,26 +138,17 @@
 	return e.isAdmitted && e.isRegistered && e.hasReport && !e.isMissing && !e.registration.IsDraining && !e.IsCordoned(now) &&
 		e.incarnation == e.registration.Incarnation &&
 		now.Sub(e.reportedAt) < silentFor && !now.Before(e.refusedUntil) &&
-		!(e.IsSuspect(now) && len(e.runs) > 0) && !e.hasUnsized()
-}
-
-// hasUnsized reports whether the free room is not known.
-func (e *Executor) hasUnsized() bool {
-	for _, r := range e.runs {
-		if r.IsUnsized {
-			return true
-		}
-	}
-	return false
+		!(e.IsSuspect(now) && len(e.runs) > 0) && e.unsized == 0
 }
 
 // Add counts a run that was ordered or found.
 func (e *Executor) Add(r *Run) {
-	if old := e.runs[r.Task]; old != nil {
-		e.used = e.used.Minus(old.Reserved)
-	}
+	e.Remove(r.Task)
 	e.runs[r.Task] = r
 	e.used = e.used.Plus(r.Reserved)
+	if r.IsUnsized {
+		e.unsized++
+	}
 }
 
 // Remove forgets a run that is certain not to run here, now or later.
@@ -163,6 +156,9 @@
 	if r := e.runs[id]; r != nil {
 		e.used = e.used.Minus(r.Reserved)
 		delete(e.runs, id)
+		if r.IsUnsized {
+			e.unsized--
+		}
 	}
 }
 
@@ -198,6 +194,7 @@
 	}
 	e.runs = make(map[bwjob.TaskID]*Run)
 	e.used = bwjob.Resources{}
+	e.unsized = 0
 	e.clock, e.clockAt, e.until = 0, bwclock.Never, 0
 	e.hasReport = false
 	e.seenEnd, e.ackedEnd = 0, 0
--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// HasDue reports whether EachDue would visit a step.
+func (j *Job) HasDue() bool {
+	hasDue := false
+	j.EachDue(func(*Occurrence, int) { hasDue = true })
+	return hasDue
+}
+
 // IsReleased reports whether the steps before a step are done.
 func (o *Occurrence) IsReleased(spec *Spec, step int) bool {
 	for _, before := range spec.Steps[step].After {
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -1,7 +1,9 @@
 package bwschedule
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
@@ -70,7 +72,8 @@
 	if s.isHeldBack(j) {
 		return
 	}
-	if !s.largest.Fits(j.Spec().Steps[step].Reserved()) && !j.Spec().Steps[step].LongRunning && now.Sub(j.AcceptedAt()) < keepRoomAfter {
+	fits := s.largest.Fits(j.Spec().Steps[step].Reserved())
+	if !fits && !s.mayKeepRoom(j, step, len(candidates), now) {
 		s.isCrowded = true
 		return
 	}
@@ -80,6 +83,11 @@
 		p.placeGang()
 		return
 	}
+	if !fits {
+		s.isCrowded = true
+		p.keepRoom()
+		return
+	}
 	tasks := o.Tasks(step)
 	for i := range tasks {
 		if !tasks[i].IsWaiting() {
@@ -223,7 +231,7 @@
 // after a while.
 func (p *placement) keepRoom() {
 	step := p.job.Spec().Steps[p.step]
-	if !step.LongRunning && p.now.Sub(p.job.AcceptedAt()) < keepRoomAfter || len(p.s.kept) >= maxKept(len(p.candidates)) {
+	if !p.s.mayKeepRoom(p.job, p.step, len(p.candidates), p.now) {
 		return
 	}
 	var best *bwexecutor.Executor
@@ -240,6 +248,12 @@
 	}
 }
 
+// mayKeepRoom reports whether a task of the step that fits nowhere gets an executor kept.
+func (s *Scheduler) mayKeepRoom(j *bwjob.Job, step, executors int, now bwclock.Time) bool {
+	isUrgent := j.Spec().Steps[step].LongRunning || now.Sub(j.AcceptedAt()) >= keepRoomAfter
+	return isUrgent && len(s.kept) < maxKept(executors)
+}
+
 // maxKept bounds the executors that are kept from smaller tasks.
 func maxKept(executors int) int { return max(1, executors/4) }
 
@@ -353,6 +367,19 @@
 	work     float64
 }
 
+func (x jobInOrder) compare(y jobInOrder) int {
+	if c := cmp.Compare(x.rank, y.rank); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(x.priority, y.priority); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(x.work, y.work); c != 0 {
+		return c
+	}
+	return strings.Compare(x.job.ID(), y.job.ID())
+}
+
 // inOrder returns the active jobs with waiting tasks, the most urgent first: tasks that
 // last, then jobs that can still meet their objective, then late ones; within each by
 // priority, and the least work first, which lets the most jobs end in time.
@@ -360,23 +387,14 @@
 	list := make([]jobInOrder, 0, len(s.active))
 	for _, j := range s.active {
 		j.Open(now)
+		if !j.HasDue() {
+			continue
+		}
 		c := jobInOrder{job: j, priority: s.queues[j.Spec().Queue].Priority}
 		c.rank, c.work = s.rank(j, now)
 		list = append(list, c)
 	}
-	sort.Slice(list, func(a, b int) bool {
-		x, y := list[a], list[b]
-		switch {
-		case x.rank != y.rank:
-			return x.rank < y.rank
-		case x.priority != y.priority:
-			return x.priority < y.priority
-		case x.work != y.work:
-			return x.work < y.work
-		default:
-			return x.job.ID() < y.job.ID()
-		}
-	})
+	slices.SortFunc(list, jobInOrder.compare)
 	return list
 }
 
--- a/bwschedule/scheduler_bench_test.go
+++ b/bwschedule/scheduler_bench_test.go
@@ -61,3 +61,35 @@
 		})
 	}
 }
+
+// BenchmarkLatePass is one pass over a full pool in which all jobs wait for long.
+func BenchmarkLatePass(b *testing.B) {
+	for _, executors := range []int{12, 60, 257} {
+		b.Run(fmt.Sprint(executors), func(b *testing.B) {
+			s := crowded(executors, 500)
+			late := start.Add(3 * time.Second)
+			for id, e := range executorsOf(s) {
+				s.Report(id, bwexecutor.Report{Incarnation: 1, Running: runsOf(e)}, late, late)
+			}
+			for b.Loop() {
+				s.Schedule(late)
+			}
+		})
+	}
+}
+
+func executorsOf(s *bwschedule.Scheduler) map[string]*bwexecutor.Executor {
+	all := make(map[string]*bwexecutor.Executor)
+	for _, id := range s.Executors() {
+		all[id] = s.Executor(id)
+	}
+	return all
+}
+
+func runsOf(e *bwexecutor.Executor) []bwexecutor.RunStatus {
+	var list []bwexecutor.RunStatus
+	for id, run := range e.Runs() {
+		list = append(list, bwexecutor.RunStatus{Task: id, Run: run.Number, Percent: 100})
+	}
+	return list
+}
