bwowner: an owner takes a thousand reports a second at most

Cause: while tasks wait, each executor reports every 40 ms; a pool of 200 executors sends 5,000 reports a second, and its owner has 0.8 of a core. With 40 executors or fewer nothing changes.

--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -20,6 +20,9 @@
 	// are worth knowing sooner.
 	reportInterval  = 120 * time.Millisecond
 	crowdedInterval = 40 * time.Millisecond
+	// reportsPerSecond bounds the reports of all executors of a pool. One takes about 50 us of
+	// a core, and the owner of a large pool has less than one.
+	reportsPerSecond = 1000
 	// doubtInterval is the time between reports that settle a doubt.
 	doubtInterval = 120 * time.Millisecond
 	// silentRetry is the pause after a call without a usable answer.
@@ -231,22 +234,27 @@
 
 // pause waits before the next report.
 func (s *session) pause(ok bool, wait time.Duration, sent bwclock.Time) {
-	d := reportInterval
+	var d time.Duration
 	switch {
 	case !ok:
 		d = silentRetry
 	case wait == 0:
 		d = doubtInterval
-	case s.owner.isCrowded():
-		d = crowdedInterval
+	default:
+		d = s.owner.reportInterval()
 	}
 	bwclock.Sleep(s.ctx, d-s.owner.deps.Clock.Now().Sub(sent))
 }
 
-func (o *Owner) isCrowded() bool {
+// reportInterval returns the least time between two reports of an executor now.
+func (o *Owner) reportInterval() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.scheduler.IsCrowded()
+	d := reportInterval
+	if o.scheduler.IsCrowded() {
+		d = crowdedInterval
+	}
+	return max(d, time.Duration(len(o.sessions))*time.Second/reportsPerSecond)
 }
 
 // nextHold returns the next call. The first one, and the first after a failure, may meet
