--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -22,7 +22,7 @@
 	crowdedInterval = 40 * time.Millisecond
 	// reportsPerSecond bounds the reports of all executors of a pool. One takes about 50 us of
 	// a core, and the owner of a large pool has less than one.
-	reportsPerSecond = 1000
+	reportsPerSecond = 600
 	// doubtInterval is the time between reports that settle a doubt.
 	doubtInterval = 120 * time.Millisecond
 	// silentRetry is the pause after a call without a usable answer.
