bwowner: an end shows only once it is stored, also between two passes

Cause: since passes gather events, a job that has ended is noted as unstored only in the next pass, up to 10 ms later. A state request in that time was answered with done. Ruled out: acknowledgements (no write was stored, and none is acknowledged without one), stale lists (the owner's write never went through), a restarted executor. Change: a changed record that waits for a pass counts as not stored, for states and cancels. TestEndShowsOnceItIsStored saw a job as done without the store before.

--- a/bwnode/fleet_test.go
+++ b/bwnode/fleet_test.go
@@ -454,3 +454,33 @@
 		assert.Equal(t, len(f.workers.Violations()), 0, "%v", f.workers.Violations())
 	})
 }
+
+// A job shows as done only once the store has its end.
+func TestEndShowsOnceItIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1, 3)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		// Ends at several executors that follow each other closely fall between two passes.
+		var ids []string
+		for i := range 3 {
+			spec := &bwjob.Spec{ID: fmt.Sprintf("job%d", i), Queue: "q-desk", Steps: []bwjob.Step{
+				{Count: 1, Need: bwjob.Resources{CPU: 8000}, Estimate: time.Second + time.Duration(3*i)*time.Millisecond},
+			}}
+			f.workers.Expect(spec)
+			assert.Equal(t, f.submit(f.queues[0], spec), bwowner.OK)
+			ids = append(ids, spec.ID)
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.kv.SetAway(true)
+		for range 3000 {
+			for _, id := range ids {
+				reply := f.nodes[0].node.State(t.Context(), f.queues[0], id)
+				assert.Assert(t, reply.State != bwowner.Done, "%s is shown as done without the store", id)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		f.kv.SetAway(false)
+		assert.Equal(t, f.workers.Running(), 0)
+	})
+}
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -168,7 +168,7 @@
 
 // stateOf returns the state that is stored: an end that is not yet stored does not show.
 func (o *Owner) stateOf(j *bwjob.Job) State {
-	isStored := o.unstored[j.ID()] == 0
+	isStored := o.isStored(j.ID())
 	switch {
 	case j.IsActive() && !j.HasStarted():
 		return Queued
@@ -183,6 +183,9 @@
 	}
 }
 
+// isStored reports whether the store has the job as it is.
+func (o *Owner) isStored(id string) bool { return o.unstored[id] == 0 && !o.scheduler.IsDirty(id) }
+
 // Cancel ends a job and answers once that is stored.
 func (o *Owner) Cancel(ctx context.Context, queue, id string) Reply {
 	stored, reply := o.enqueueCancel(queue, id)
@@ -210,7 +213,7 @@
 	if j == nil || j.Spec().Queue != queue {
 		return nil, o.absence(id)
 	}
-	if !j.IsActive() && o.unstored[id] == 0 {
+	if !j.IsActive() && o.isStored(id) {
 		return nil, Reply{Verdict: OK, State: o.stateOf(j)}
 	}
 	now := o.deps.Clock.Now()
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -156,6 +156,9 @@
 	return false
 }
 
+// IsDirty reports whether a job's record has changed since the last TakeDirty.
+func (s *Scheduler) IsDirty(id string) bool { return s.dirty[id] }
+
 // MarkDirty notes that a job's record has to be stored again.
 func (s *Scheduler) MarkDirty(id string) { s.dirty[id] = true }
 
