bwowner: a planned stop takes idle executors off the stored list

Cause: an owner that stopped left the executors that it had lately heard on its list, also those that ran nothing. Ruled out: room (capacity was there), the hand-over itself (it was clean). Change: while an owner stops, which gives no more starts, only executors that run something stay on the list.

--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -154,7 +154,7 @@
 	for id := range o.recorded {
 		isGone = isGone || !wanted[id]
 	}
-	if !isNew && !(isGone && now.Sub(o.recordedAt) >= forgetInterval) {
+	if !isNew && !(isGone && (o.isStopping || now.Sub(o.recordedAt) >= forgetInterval)) {
 		return
 	}
 	list := o.record(wanted, now)
@@ -170,12 +170,13 @@
 	}})
 }
 
-// wantedKnown returns the executors that belong on the list.
+// wantedKnown returns the executors that belong on the list. An owner that stops gives no
+// more starts, so that only those stay that run something.
 func (o *Owner) wantedKnown(now bwclock.Time) map[string]bool {
 	wanted := make(map[string]bool)
 	for _, id := range o.scheduler.Executors() {
 		e := o.scheduler.Executor(id)
-		if len(e.Runs()) > 0 || e.HasReported() && !e.HasLapsed(now) {
+		if len(e.Runs()) > 0 || !o.isStopping && e.HasReported() && !e.HasLapsed(now) {
 			wanted[id] = true
 		}
 	}
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -379,7 +379,9 @@
 
 // isSettled reports that no order is under way and every change is stored.
 func (o *Owner) isSettled() bool {
-	o.flush(o.deps.Clock.Now(), true)
+	now := o.deps.Clock.Now()
+	o.storeKnown(now)
+	o.flush(now, true)
 	for _, s := range o.sessions {
 		if s.isBusy() {
 			return false
