--- a/bwnode/fleet_test.go
+++ b/bwnode/fleet_test.go
@@ -484,3 +484,32 @@
 		assert.Equal(t, f.workers.Running(), 0)
 	})
 }
+
+// The successor of an owner that stopped as planned does not wait for executors that ran
+// nothing, also when they have just left.
+func TestPlannedStopLeavesNoIdleExecutorToWaitFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2, 3)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		f.workers.SetDark("desk-0", true)
+		// Its silence is known by then, and its lease has not ended.
+		time.Sleep(2200 * time.Millisecond)
+		step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: time.Second}
+		second := step
+		second.After = []int{0}
+		spec := &bwjob.Spec{ID: "job", Queue: "q-desk", Steps: []bwjob.Step{step, second}}
+		f.workers.Expect(spec)
+		assert.Equal(t, f.submit(f.queues[0], spec), bwowner.OK)
+		stopped := time.Now()
+		if f.nodes[0].runs("desk") {
+			f.stop(0)
+		} else {
+			f.stop(1)
+		}
+		for f.state(f.queues[0], "job").State != bwowner.Done {
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(t, time.Since(stopped) < 3500*time.Millisecond, "the job is not done %s after the planned stop", time.Since(stopped))
+		}
+	})
+}
