bwschedule: arrivals are forgotten when no survey asks for them

Cause: the jobs that came are dropped when a forecast is made, which happens in the survey of the duty for hosts. A deployment without a list of hosts has no duty, so the list grew with each job for ever. Change: a new job drops those older than the longest window. TestArrivalsAreForgottenWithoutSurveys: the heap grew by megabytes before.

--- a/bwschedule/forecast.go
+++ b/bwschedule/forecast.go
@@ -59,15 +59,21 @@
 }
 
 func (a *arrivals) add(spec *bwjob.Spec, now bwclock.Time) {
+	a.forget(now)
 	a.list = append(a.list, arrival{at: now, work: workOf(spec)})
 }
 
-// forecast returns what the work that comes will hold at the given time from now. The rate
-// of the last moments is extended by its trend, because hosts need a while to come.
-func (a *arrivals) forecast(now bwclock.Time, ahead time.Duration) work {
+// forget drops the jobs that no forecast looks at any more.
+func (a *arrivals) forget(now bwclock.Time) {
 	for len(a.list) > 0 && now.Sub(a.list[0].at) > quietWindow {
 		a.list = a.list[1:]
 	}
+}
+
+// forecast returns what the work that comes will hold at the given time from now. The rate
+// of the last moments is extended by its trend, because hosts need a while to come.
+func (a *arrivals) forecast(now bwclock.Time, ahead time.Duration) work {
+	a.forget(now)
 	recent, count := a.between(now.Add(-rateWindow), now)
 	if count < minArrivals {
 		all, _ := a.between(now.Add(-quietWindow), now)
--- a/bwschedule/forecast_test.go
+++ b/bwschedule/forecast_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -71,3 +72,23 @@
 	got := s.Survey(bwclock.Time(start)).Demand
 	assert.Assert(t, got <= 2, "%.1f executors for a job that fills two", got)
 }
+
+// A pool that nobody surveys keeps no record of the jobs that came long ago.
+func TestArrivalsAreForgottenWithoutSurveys(t *testing.T) {
+	s := bwschedule.New(hclog.NewNullLogger())
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 300_000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		j := bwjob.New(&bwjob.Spec{ID: "j", Queue: "q", Steps: []bwjob.Step{{Count: 1, Estimate: time.Second}}}, now)
+		s.Submit(j)
+		s.Cancel(j, now)
+		s.Forget("j")
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	grown := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	assert.Assert(t, grown < 1<<20, "the heap has grown by %d bytes", grown)
+	runtime.KeepAlive(s)
+}
