--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -11,9 +11,18 @@
 	"basilwood.example/basilwood/bwownership"
 )
 
-// newsFor is the age of the keys of owners up to which an owner is sure to be one. A read of
-// them waits for a second; the bound for the state of an accepted job is three seconds.
-const newsFor = 2200 * time.Millisecond
+// maxNewsAge is the age of the keys of owners up to which an owner is sure to be one, unless the
+// deployment's bound for accepted jobs is shorter. A read of the keys waits for a second; two
+// of them fit, with their ways.
+const maxNewsAge = 2200 * time.Millisecond
+
+// newsBound returns how old the keys of owners may be for a job to be called absent.
+func newsBound(visible time.Duration) time.Duration {
+	if visible > 0 {
+		return min(maxNewsAge, visible)
+	}
+	return maxNewsAge
+}
 
 // nodesChanged takes in the keys of nodes and owners.
 func (n *Node) nodesChanged([]bwkv.Item) {
@@ -169,7 +178,7 @@
 func (n *Node) isConfirmed() bool { return n.lease.isConfirmed() && n.hasNews(leaseLength) }
 
 // isFresh reports whether this node is sure to be the owner of what it runs.
-func (n *Node) isFresh() bool { return n.lease.isFresh() && n.hasNews(newsFor) }
+func (n *Node) isFresh() bool { return n.lease.isFresh() && n.hasNews(n.newsFor) }
 
 // hasNews reports whether the keys of owners were read within the given time.
 func (n *Node) hasNews(d time.Duration) bool {
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -79,6 +79,9 @@
 type Settings struct {
 	Owner  bwowner.Settings
 	Upkeep bwupkeep.Settings
+	// Visible is the time after which every node has to know an accepted job; 0 when it is
+	// not bounded.
+	Visible time.Duration
 	// DutyLease is the time after which another process may give orders to a host.
 	DutyLease time.Duration
 }
@@ -111,6 +114,7 @@
 	settings    bwowner.Settings
 	upkeep      bwupkeep.Settings
 	dutyLease   time.Duration
+	newsFor     time.Duration
 	log         hclog.Logger
 	lease       *lease
 	nodes       *bwmirror.Mirror
@@ -140,6 +144,7 @@
 		settings:      settings.Owner,
 		upkeep:        settings.Upkeep,
 		dutyLease:     settings.DutyLease,
+		newsFor:       newsBound(settings.Visible),
 		owned:         make(map[string]task),
 		claiming:      make(map[string]bool),
 		asking:        make(map[string]bool),
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -93,6 +93,7 @@
 	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress, Power: s.Power}, bwnode.Settings{
 		Owner:     bwowner.Settings{LeaseLength: min(executorLease, s.HoldMax), StopTime: s.StopTime, KeepEnded: s.KeepEnded},
 		Upkeep:    bwupkeep.Settings{Maintenance: s.Maintenance, Move: s.Move},
+		Visible:   s.Visible,
 		DutyLease: s.DutyLease,
 	})
 	return &program{settings: s, log: log, node: node, mesh: mesh, callers: bwhttp.NewServer(platform.NewIngress(node, log))}
