bwupkeep, docs: tests of the duty fail cleanly on a holder that announces nothing

Cause: on that broken variant two tests ran into the time limit in place of failing: the stand-in held its lock over a call to the store, and duties were not stopped. Change: the call comes before the lock, and every test stops its duty.

--- a/bwupkeep/duty_test.go
+++ b/bwupkeep/duty_test.go
@@ -74,6 +74,7 @@
 		kv := bwstandin.NewKV(1)
 		kv.Put("hosts/orders", []byte(`["m-1","m-2"]`))
 		d := takeOver(t, kv, hosts, idlePools{}, 1, func(reason string) { lost = reason })
+		defer d.Stop(context.Background())
 		go d.Run(context.Background())
 		time.Sleep(2500 * time.Millisecond)
 		assert.Equal(t, hosts.orders, 0, "orders before the earlier holder's time is over")
@@ -93,10 +94,10 @@
 }
 
 func (h *orderedHosts) Maintain(ctx context.Context, host string, _, _ int64) bwupkeep.Result {
+	list, err := h.kv.Get(ctx, "hosts/orders")
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.orders[host] = time.Now()
-	list, err := h.kv.Get(ctx, "hosts/orders")
 	if err != nil || !strings.Contains(string(list.Value), host) {
 		h.faults = append(h.faults, host)
 	}
@@ -129,6 +130,7 @@
 		hosts := &orderedHosts{kv: kv, orders: make(map[string]time.Time)}
 		lost := ""
 		d := takeOver(t, kv, hosts, idlePools{}, 2, func(reason string) { lost = reason })
+		defer d.Stop(context.Background())
 		kv.Put(ownerKey, nil)
 		go d.Run(context.Background())
 		time.Sleep(10 * time.Second)
