bwmirror, bwnode, platform: the age and the failures of a copy are visible

An outage of a mirror was logged once, at its first failure, and no log line or metric told how old a node's configuration was or how much of a reply had arrived.

Failures of a mirror are now logged every 5 s with their number, the revision and the age; the end of an outage with its length. The line of a new configuration has its size and decoding time, and a configuration that is not taken is logged.

TestOngoingOutageIsLogged found one line instead of three before.

--- a/bwmirror/mirror.go
+++ b/bwmirror/mirror.go
@@ -23,6 +23,8 @@
 	watchWait = 1000 * time.Millisecond
 	// retryDelay is the delay after a failed call.
 	retryDelay = 200 * time.Millisecond
+	// failureLogInterval is the minimum time between two log lines about a series of failures.
+	failureLogInterval = 5 * time.Second
 )
 
 // Source is the part of the key-value service that a Mirror reads. List returns every item
@@ -41,12 +43,21 @@
 	minInterval time.Duration
 	onChange    func(changes []bwkv.Item)
 
-	mu        sync.Mutex
-	items     map[string]bwkv.Item
-	revision  int64
-	isLoaded  bool
-	freshAt   bwclock.Time
-	isFailing bool
+	mu       sync.Mutex
+	items    map[string]bwkv.Item
+	revision int64
+	isLoaded bool
+	freshAt  bwclock.Time
+	// failures counts the failed calls since the mirror was created.
+	failures int
+	outage   outage
+}
+
+// outage is a series of failed calls without a successful one between them.
+type outage struct {
+	since    bwclock.Time
+	failures int
+	loggedAt bwclock.Time
 }
 
 // Option configures a Mirror.
@@ -97,6 +108,16 @@
 	return m.freshAt
 }
 
+// Prefix returns the prefix of the mirrored keys.
+func (m *Mirror) Prefix() string { return m.prefix }
+
+// Failures returns the number of failed calls since the mirror was created.
+func (m *Mirror) Failures() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.failures
+}
+
 // Run lists and watches the prefix until ctx is done.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -110,8 +131,8 @@
 	}
 }
 
-// handleFailure logs the first of a series of failures and waits before the next attempt.
-// After a compaction the next attempt follows at once.
+// handleFailure logs a failure and waits before the next attempt. After a compaction the
+// next attempt follows at once.
 func (m *Mirror) handleFailure(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil {
 		return
@@ -120,13 +141,43 @@
 		m.log.Info("store history is compacted; listing again", "prefix", m.prefix)
 		return
 	}
-	if !m.isFailing {
-		m.isFailing = true
-		m.log.Warn("store does not answer", "prefix", m.prefix, "call", call, "age", m.clock.Now().Sub(m.FreshAt()).String(), "error", err.Error())
-	}
+	m.recordFailure(call, err)
 	bwclock.Sleep(ctx, retryDelay)
 }
 
+// recordFailure counts a failure. It logs the first of a series, and later ones at most once
+// per failureLogInterval.
+func (m *Mirror) recordFailure(call string, err error) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	m.failures++
+	if m.outage.failures == 0 {
+		m.outage.since = now
+	}
+	m.outage.failures++
+	isDue := m.outage.failures == 1 || now.Sub(m.outage.loggedAt) >= failureLogInterval
+	if isDue {
+		m.outage.loggedAt = now
+	}
+	failures, revision, age := m.outage.failures, m.revision, now.Sub(m.freshAt)
+	m.mu.Unlock()
+	if isDue {
+		m.log.Warn("store does not answer", "prefix", m.prefix, "call", call, "failures", failures,
+			"revision", revision, "age", age.String(), "error", err.Error())
+	}
+}
+
+// endOutage ends a series of failures after a successful call.
+func (m *Mirror) endOutage() {
+	m.mu.Lock()
+	ended := m.outage
+	m.outage = outage{}
+	m.mu.Unlock()
+	if ended.failures > 0 {
+		m.log.Info("store answers again", "prefix", m.prefix, "failures", ended.failures, "after", m.clock.Now().Sub(ended.since).String())
+	}
+}
+
 // load lists the prefix and applies the result. Items of the mirror that are no longer listed
 // are applied as removals.
 func (m *Mirror) load(ctx context.Context) error {
@@ -171,10 +222,7 @@
 // apply merges changes into the items, skipping those that are not newer. sentAt is when the
 // read that returned them was sent.
 func (m *Mirror) apply(changes []bwkv.Item, revision int64, sentAt bwclock.Time) {
-	if m.isFailing {
-		m.isFailing = false
-		m.log.Info("store answers again", "prefix", m.prefix)
-	}
+	m.endOutage()
 	var applied []bwkv.Item
 	m.mu.Lock()
 	for _, c := range changes {
--- a/bwmirror/mirror_test.go
+++ b/bwmirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +64,24 @@
 		})
 	}
 }
+
+// Guards against outages that show only their first failure in the log.
+func TestOngoingOutageIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines strings.Builder
+		kv := bwstandin.NewKV(1)
+		m := bwmirror.New(kv, "p/", bwclock.New(), hclog.New(&hclog.LoggerOptions{Output: &lines}))
+		ctx, cancel := context.WithCancel(context.Background())
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		kv.SetUnavailable(true)
+		time.Sleep(12 * time.Second)
+		kv.SetUnavailable(false)
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, strings.Count(lines.String(), "store does not answer"), 3, lines.String())
+		assert.Equal(t, strings.Count(lines.String(), "store answers again"), 1, lines.String())
+		assert.Assert(t, m.Failures() > 3)
+	})
+}
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -166,6 +166,7 @@
 	n.operatorKeys = bwmirror.New(deps.Store, deps.Registry.OperatorPrefix, deps.Clock, n.log, bwmirror.WithOnChange(n.operatorsChanged))
 	n.executorKeys = bwmirror.New(deps.Store, deps.Registry.ExecutorPrefix, deps.Clock, n.log,
 		bwmirror.WithMinInterval(executorsReadInterval), bwmirror.WithOnChange(n.executorsChanged))
+	deps.Metrics.setNode(n)
 	return n
 }
 
@@ -255,6 +256,7 @@
 // configure applies a version of the configuration unless the current one is the same or
 // newer.
 func (n *Node) configure(item bwkv.Item) {
+	startedAt := n.deps.Clock.Now()
 	c, err := n.deps.Registry.DecodeConfiguration(item)
 	if err != nil {
 		n.log.Error("failed to decode the configuration", "revision", item.Revision, "error", err.Error())
@@ -262,7 +264,9 @@
 	}
 	n.mu.Lock()
 	if n.configuration != nil && n.configuration.Version() >= c.Version() {
+		current := n.configuration.Version()
 		n.mu.Unlock()
+		n.log.Info("configuration is not newer; ignored", "version", c.Version(), "revision", item.Revision, "inForce", current)
 		return
 	}
 	n.configuration = c
@@ -271,7 +275,8 @@
 	for _, o := range owners {
 		o.SetQueues(c.QueuesOf(o.Pool()))
 	}
-	n.log.Info("configuration in force", "version", c.Version(), "revision", item.Revision, "queues", len(c.Queues()))
+	n.log.Info("configuration in force", "version", c.Version(), "revision", item.Revision, "queues", len(c.Queues()),
+		"bytes", len(item.Value), "took", n.deps.Clock.Now().Sub(startedAt).String())
 }
 
 // localOwners returns the owners of pools in this process. The caller must hold n.mu.
