--- a/bwmirror/mirror.go
+++ b/bwmirror/mirror.go
@@ -159,14 +159,22 @@
 	if isDue {
 		m.outage.loggedAt = now
 	}
-	failures, revision, age := m.outage.failures, m.revision, now.Sub(m.freshAt)
+	failures, revision, age := m.outage.failures, m.revision, m.age(now)
 	m.mu.Unlock()
 	if isDue {
 		m.log.Warn("store does not answer", "prefix", m.prefix, "call", call, "failures", failures,
-			"revision", revision, "age", age.String(), "error", err.Error())
+			"revision", revision, "age", age, "error", err.Error())
 	}
 }
 
+// age describes the age of the copy for the log. The caller holds the lock.
+func (m *Mirror) age(now bwclock.Time) string {
+	if !m.isLoaded {
+		return "never loaded"
+	}
+	return now.Sub(m.freshAt).String()
+}
+
 // endOutage ends a series of failures after a successful call.
 func (m *Mirror) endOutage() {
 	m.mu.Lock()
