bwnode: a change of one registration decodes only that entry

Every change under the prefix of the executors decoded the whole registry again, up to four times a second on each owner, and an entry that cannot be decoded was passed over with a line at debug level only. A large or deeply nested entry of another writer cost its decoding each time, and nothing in the log named it.

Registrations are now decoded when they change and kept; an ignored one leaves a warning for each of its changes. The cluster tests use the platform's format for executors.

--- a/bwnode/cluster_test.go
+++ b/bwnode/cluster_test.go
@@ -26,13 +26,14 @@
 	"basilwood.example/basilwood/bwschedule"
 	"basilwood.example/basilwood/bwseed"
 	"basilwood.example/basilwood/bwstandin"
+	"basilwood.example/basilwood/platform"
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 )
 
 const (
 	executorLeaseTTL = 3500 * time.Millisecond
-	prefixRegistry   = "registry/"
+	prefixRegistry   = platform.PrefixExecutors
 	keyConfig        = "operators/config"
 )
 
@@ -47,6 +48,7 @@
 	nodes      []*testNode
 	started    int
 	queues     []bwfleet.Queue
+	configure  []func(*bwnode.Deps)
 	logs       strings.Builder
 	logMu      sync.Mutex
 }
@@ -102,13 +104,15 @@
 	return e.Executors.Order(ctx, target, o, fence, until)
 }
 
-func newCluster(t *testing.T, seed uint64, nodes, executors int) *cluster {
+// newCluster starts a cluster. The functions in configure change the dependencies of each node.
+func newCluster(t *testing.T, seed uint64, nodes, executors int, configure ...func(*bwnode.Deps)) *cluster {
 	c := &cluster{
 		t:         t,
 		rng:       rand.New(rand.NewPCG(seed, seed)),
 		kv:        bwstandin.NewKV(seed),
 		executors: bwstandin.NewExecutors(seed),
 		network:   bwpipe.New(),
+		configure: configure,
 	}
 	for _, pool := range []string{"desk", "lab"} {
 		c.queues = append(c.queues, bwfleet.Queue{Name: "q-" + pool, Pool: pool, Host: "h", Prefix: "/" + pool + "/", MaxAttempts: 3, Stretch: 2, ObjectiveOffset: time.Second})
@@ -132,21 +136,30 @@
 	if r.Incarnation == 1 {
 		c.executors.Add(r)
 	}
-	value, err := json.Marshal(r)
+	value, err := json.Marshal(wireRegistration(r))
 	assert.NilError(c.t, err)
 	c.kv.Put(prefixRegistry+r.ID, value)
 }
 
+// wireRegistration returns a registration in the platform's format.
+func wireRegistration(r bwexecutor.Registration) map[string]any {
+	state := "ready"
+	if r.IsDraining {
+		state = "draining"
+	}
+	return map[string]any{
+		"service": r.Pool, "addr": r.Address, "zone": "a", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
+		"born": r.Incarnation, "labels": append([]string{"kind"}, r.Rack),
+		"capacity": map[string]any{"cpu": r.Capacity.CPU, "mem_mb": r.Capacity.MemoryMB, "gpu": r.Capacity.Accelerators},
+	}
+}
+
 func registry() bwnode.Registry {
 	return bwnode.Registry{
 		ExecutorPrefix:   prefixRegistry,
 		OperatorPrefix:   "operators/",
 		ConfigurationKey: keyConfig,
-		DecodeExecutor: func(item bwkv.Item) (bwexecutor.Registration, error) {
-			var r bwexecutor.Registration
-			err := json.Unmarshal(item.Value, &r)
-			return r, err
-		},
+		DecodeExecutor:   platform.DecodeExecutor,
 		DecodeConfiguration: func(item bwkv.Item) (*bwfleet.Configuration, error) {
 			var queues []bwfleet.Queue
 			err := json.Unmarshal(item.Value, &queues)
@@ -170,14 +183,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	mesh := bwmesh.New(c.network.Dialer(host))
 	store, executors := &nodeStore{KV: c.kv}, &nodeExecutors{Executors: c.executors}
-	node := bwnode.New(bwnode.Deps{
+	deps := bwnode.Deps{
 		Store:     store,
 		Registry:  registry(),
 		Executors: executors,
 		Mesh:      mesh,
 		Clock:     bwclock.New(),
 		Log:       hclog.New(&hclog.LoggerOptions{Name: host, Level: hclog.Info, Output: c}),
-	}, bwnode.Identity{Name: host, Address: address}, bwnode.Settings{
+	}
+	for _, f := range c.configure {
+		f(&deps)
+	}
+	node := bwnode.New(deps, bwnode.Identity{Name: host, Address: address}, bwnode.Settings{
 		Owner: bwowner.Settings{LeaseLength: executorLeaseTTL, EndedJobRetention: 5 * time.Minute},
 	})
 	listener := c.network.Listen(address)
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -128,6 +128,9 @@
 	operatorKeys        *bwmirror.Mirror
 	executorKeys        *bwmirror.Mirror
 	goroutines          sync.WaitGroup
+	// decodedExecutors holds the valid registrations by key. Only the goroutine of the
+	// executors' mirror uses it.
+	decodedExecutors map[string]bwexecutor.Registration
 
 	mu                 sync.Mutex
 	ctx                context.Context
@@ -155,6 +158,7 @@
 		roles:               make(map[string]role),
 		claiming:            make(map[string]bool),
 		pinging:             make(map[string]bool),
+		decodedExecutors:    make(map[string]bwexecutor.Registration),
 		registrations:       make(map[string][]bwexecutor.Registration),
 	}
 	n.log = deps.Log.With("node", identity.Name)
@@ -290,16 +294,14 @@
 	return list
 }
 
-// executorsChanged processes changes of the executors' registrations.
-func (n *Node) executorsChanged([]bwkv.Item) {
-	items, _ := n.executorKeys.Items()
+// executorsChanged processes changes of the executors' registrations. Only the goroutine of
+// the executors' mirror calls it.
+func (n *Node) executorsChanged(changes []bwkv.Item) {
+	for _, item := range changes {
+		n.decodeRegistration(item)
+	}
 	byPool := make(map[string][]bwexecutor.Registration)
-	for _, item := range items {
-		r, err := n.deps.Registry.DecodeExecutor(item)
-		if err != nil {
-			n.log.Debug("failed to decode the registration of an executor", "key", item.Key, "error", err.Error())
-			continue
-		}
+	for _, r := range n.decodedExecutors {
 		byPool[r.Pool] = append(byPool[r.Pool], r)
 	}
 	n.mu.Lock()
@@ -311,6 +313,20 @@
 	}
 }
 
+// decodeRegistration decodes a changed registration. An invalid one names no executor.
+func (n *Node) decodeRegistration(item bwkv.Item) {
+	delete(n.decodedExecutors, item.Key)
+	if item.IsRemoved {
+		return
+	}
+	r, err := n.deps.Registry.DecodeExecutor(item)
+	if err != nil {
+		n.log.Warn("registration of an executor ignored", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		return
+	}
+	n.decodedExecutors[item.Key] = r
+}
+
 // startReadingExecutors starts to mirror the registry of executors, which only owners of
 // pools need. The caller must hold n.mu.
 func (n *Node) startReadingExecutors() {
