bwstore, bwplatform, bwconfig: large lists load over slow links

An entry on a link of 10 Mbit/s never loads a configuration of 256 values of 16 KB. The list of hosts had 2 s.

Both clients now use bwhttp.Exchange, whose limits bound silence only, and the syncer no longer adds a limit for all lists together.

--- a/bwconfig/syncer.go
+++ b/bwconfig/syncer.go
@@ -13,7 +13,6 @@
 const (
 	longPollWait = 500 * time.Millisecond
 	retryDelay   = 200 * time.Millisecond
-	listTimeout  = 3 * time.Second
 )
 
 // store is the part of the store client that a Syncer uses.
@@ -79,8 +78,6 @@
 }
 
 func (s *Syncer) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	startedAt := s.clock.Now()
 	var entries []bwstore.Entry
 	revision := int64(-1)
--- a/bwplatform/client.go
+++ b/bwplatform/client.go
@@ -11,14 +11,19 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
+	"basilwood.example/basilwood/bwhttp"
 	"github.com/samber/oops"
 )
 
-const callTimeout = 2 * time.Second
+const (
+	// maxWait is the maximum time until the platform begins to reply, and the maximum pause
+	// while a reply is read.
+	maxWait       = 2 * time.Second
+	maxReplyBytes = 64 << 20
+)
 
 // HostState is the state of a host according to the platform.
 type HostState string
@@ -110,8 +115,6 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	data, err := json.Marshal(body)
 	if err != nil {
 		return oops.In("bwplatform").Wrapf(err, "encode request for %s", path)
@@ -120,18 +123,13 @@
 	if err != nil {
 		return oops.In("bwplatform").Wrapf(err, "create request for %s", path)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	status, content, err := bwhttp.Exchange(c.transport, req, bwhttp.Limits{Wait: maxWait, Pause: maxWait, MaxBytes: maxReplyBytes})
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return oops.In("bwplatform").Wrapf(err, "%s %s", method, path)
 	}
-	defer resp.Body.Close()
-	content, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return oops.In("bwplatform").Wrapf(err, "read reply from %s", path)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return oops.In("bwplatform").Errorf("%s %s: status %d", method, path, resp.StatusCode)
+	if status != http.StatusOK {
+		return oops.In("bwplatform").Errorf("%s %s: status %d", method, path, status)
 	}
 	return json.Unmarshal(content, reply)
 }
--- a/bwstore/client.go
+++ b/bwstore/client.go
@@ -16,13 +16,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwhttp"
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"github.com/samber/oops"
@@ -33,7 +33,9 @@
 const MaxValueBytes = 1 << 20
 
 const (
-	defaultCallTimeout = 1500 * time.Millisecond
+	// defaultMaxWait is the default of the maximum time until the service begins to reply,
+	// and of the maximum pause while a reply is read.
+	defaultMaxWait     = 1500 * time.Millisecond
 	maxReplyBytes      = 256 << 20
 	watchTimeoutMargin = time.Second
 )
@@ -59,18 +61,19 @@
 
 // Client is a client of the key-value service. It is safe for concurrent use.
 type Client struct {
-	baseURL     string
-	transport   *http.Transport
-	callTimeout time.Duration
-	limiters    [classCount]*rate.Limiter
+	baseURL   string
+	transport *http.Transport
+	maxWait   time.Duration
+	limiters  [classCount]*rate.Limiter
 }
 
 // Option configures a Client.
 type Option func(*Client)
 
-// WithTimeout sets the timeout of a single call.
-func WithTimeout(d time.Duration) Option {
-	return func(c *Client) { c.callTimeout = d }
+// WithMaxWait sets the maximum time until the service begins to reply to a call, and the
+// maximum pause while a reply is read.
+func WithMaxWait(d time.Duration) Option {
+	return func(c *Client) { c.maxWait = d }
 }
 
 // WithWriteLimit sets the write rate limit of a class, and its burst.
@@ -86,9 +89,9 @@
 // New returns a client of the service at baseURL, which has no path.
 func New(baseURL string, options ...Option) *Client {
 	c := &Client{
-		baseURL:     baseURL,
-		transport:   &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second},
-		callTimeout: defaultCallTimeout,
+		baseURL:   baseURL,
+		transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second},
+		maxWait:   defaultMaxWait,
 	}
 	for i := range c.limiters {
 		c.limiters[i] = rate.NewLimiter(rate.Inf, 1)
@@ -148,10 +151,8 @@
 		"after":      {strconv.FormatInt(revision, 10)},
 		"waitMillis": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
-	defer cancel()
 	var m ListMessage
-	_, err := c.doRequest(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil, &m)
+	_, err := c.exchange(ctx, call{method: http.MethodGet, path: "/v1/watch?" + query.Encode(), maxWait: wait + watchTimeoutMargin}, &m)
 	if err != nil {
 		return Changes{}, err
 	}
@@ -236,8 +237,6 @@
 }
 
 func (c *Client) doWrite(ctx context.Context, w write, m *RevisionMessage) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
-	defer cancel()
 	if w.isDelete {
 		path := "/v1/keys/" + w.key + "?revision=" + strconv.FormatInt(w.expected, 10)
 		return c.doRequest(ctx, http.MethodDelete, path, nil, m)
@@ -252,7 +251,7 @@
 // at the expected revision.
 func (c *Client) verifyWrite(ctx context.Context, w write) (WriteResult, bool) {
 	var m KeyMessage
-	status, err := c.getOnce(ctx, "/v1/keys/"+w.key, &m)
+	status, err := c.doRequest(ctx, http.MethodGet, "/v1/keys/"+w.key, nil, &m)
 	if err != nil {
 		return WriteResult{}, false
 	}
@@ -275,8 +274,6 @@
 // GrantLease creates a lease that expires ttl after its last renewal.
 func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	var m LeaseMessage
-	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
-	defer cancel()
 	_, err := c.doRequest(ctx, http.MethodPost, "/v1/leases", LeaseMessage{TTLMillis: ttl.Milliseconds()}, &m)
 	return LeaseID(m.LeaseID), err
 }
@@ -284,8 +281,6 @@
 // RenewLease renews the lease. It returns false if the lease has expired.
 func (c *Client) RenewLease(ctx context.Context, id LeaseID) (bool, error) {
 	var m LeaseMessage
-	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
-	defer cancel()
 	status, err := c.doRequest(ctx, http.MethodPost, "/v1/leases/"+string(id)+"/renew", LeaseMessage{}, &m)
 	return status == http.StatusOK, err
 }
@@ -293,55 +288,54 @@
 // RevokeLease revokes the lease, which deletes its keys.
 func (c *Client) RevokeLease(ctx context.Context, id LeaseID) error {
 	var m LeaseMessage
-	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
-	defer cancel()
 	_, err := c.doRequest(ctx, http.MethodDelete, "/v1/leases/"+string(id), nil, &m)
 	return err
 }
 
-// getWithRetry retries a read with exponential backoff until it succeeds, two call
-// timeouts have passed or ctx is done.
+// getWithRetry retries a read with exponential backoff until it succeeds, twice the maximum
+// wait has passed or ctx is done.
 func (c *Client) getWithRetry(ctx context.Context, path string, reply any) (int, error) {
-	read := func() (int, error) { return c.getOnce(ctx, path, reply) }
-	return backoff.Retry(ctx, read, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(2*c.callTimeout))
+	read := func() (int, error) { return c.doRequest(ctx, http.MethodGet, path, nil, reply) }
+	return backoff.Retry(ctx, read, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(2*c.maxWait))
 }
 
-func (c *Client) getOnce(ctx context.Context, path string, reply any) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
-	defer cancel()
-	return c.doRequest(ctx, http.MethodGet, path, nil, reply)
+// call is one HTTP call. A body of nil is sent as the JSON value null.
+type call struct {
+	method, path string
+	body         any
+	maxWait      time.Duration
 }
 
-// doRequest makes one HTTP call. A status of 500 or above is an error; a lower one is a
-// result.
+// doRequest makes one HTTP call with the maximum wait of the client.
 func (c *Client) doRequest(ctx context.Context, method, path string, body, reply any) (int, error) {
-	data, err := json.Marshal(body)
+	return c.exchange(ctx, call{method: method, path: path, body: body, maxWait: c.maxWait}, reply)
+}
+
+// exchange makes one HTTP call. A status of 500 or above is an error; a lower one is a
+// result.
+func (c *Client) exchange(ctx context.Context, l call, reply any) (int, error) {
+	data, err := json.Marshal(l.body)
 	if err != nil {
-		return 0, oops.In("bwstore").Wrapf(err, "encode %s %s", method, path)
+		return 0, oops.In("bwstore").Wrapf(err, "encode %s %s", l.method, l.path)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, l.method, c.baseURL+l.path, bytes.NewReader(data))
 	if err != nil {
-		return 0, oops.In("bwstore").Wrapf(err, "build %s %s", method, path)
+		return 0, oops.In("bwstore").Wrapf(err, "build %s %s", l.method, l.path)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	status, content, err := bwhttp.Exchange(c.transport, req, bwhttp.Limits{Wait: l.maxWait, Pause: c.maxWait, MaxBytes: maxReplyBytes})
 	if err != nil {
 		// A timeout may mean that a middlebox on the path has dropped the connection's state.
 		// The idle connections share the path, so they are closed too.
 		c.transport.CloseIdleConnections()
-		return 0, oops.In("bwstore").Wrapf(err, "%s %s", method, path)
-	}
-	defer resp.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	if err != nil {
-		return 0, oops.In("bwstore").Wrapf(err, "read reply of %s %s", method, path)
+		return 0, oops.In("bwstore").Wrapf(err, "%s %s", l.method, l.path)
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
-		return resp.StatusCode, oops.In("bwstore").Errorf("%s %s: status %d", method, path, resp.StatusCode)
+	if status >= http.StatusInternalServerError {
+		return status, oops.In("bwstore").Errorf("%s %s: status %d", l.method, l.path, status)
 	}
-	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict {
+	if status == http.StatusOK || status == http.StatusConflict {
 		err = json.Unmarshal(content, reply)
 	}
-	return resp.StatusCode, err
+	return status, err
 }
 
 func decodeEnvelopes(messages []KeyMessage) ([]Entry, error) {
