bwhttp: a request that is still being sent is not given up

The wait for a reply included the transfer of the request, so a transaction that takes longer to send than the wait would be sent again from the start each time. The largest one that the committer builds, 512 KB or 683 KB on the wire, takes 0.55 s of 0.7 s on an idle link of 10 Mbit/s by calculation; two of them at once would not pass.

The wait now counts from the last part of the request that was sent.

TestExchangeSendsLargeRequestToItsEnd sends for 10 s with a wait of 1 s; without the timed body the server sees it end early.

--- a/bwhttp/exchange.go
+++ b/bwhttp/exchange.go
@@ -5,16 +5,18 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
 )
 
 // Limits bound one exchange of a request and its reply. There is no limit for the exchange as
-// a whole: the time to transfer a reply depends on its size and on the link, and a repeated
+// a whole: the time to transfer a body depends on its size and on the link, and a repeated
 // request would have to transfer all of it again.
 type Limits struct {
-	// Wait is the maximum time until the reply begins; 0 means no limit.
+	// Wait is the maximum time until the reply begins, counted from the last part of the
+	// request that was sent; 0 means no limit.
 	Wait time.Duration
 	// Pause is the maximum time in which no part of the reply arrives after it has begun; 0
 	// means no limit.
@@ -29,16 +31,16 @@
 func Exchange(transport http.RoundTripper, r *http.Request, l Limits) (int, []byte, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	timer := newSilenceTimer(cancel)
-	defer timer.stop()
+	timer := &silenceTimer{cancel: cancel}
+	defer timer.end()
 	startedAt := time.Now()
 	timer.restart(l.Wait)
-	resp, err := transport.RoundTrip(r.WithContext(ctx))
+	resp, err := transport.RoundTrip(withTimedBody(r.WithContext(ctx), timer, l.Wait))
 	if err != nil {
 		return 0, nil, exceededLimit(ctx, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(&timedReader{reader: resp.Body, timer: timer, pause: l.Pause}, l.MaxBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&timedBody{ReadCloser: resp.Body, timer: timer, limit: l.Pause}, l.MaxBytes+1))
 	if err == nil && int64(len(body)) > l.MaxBytes {
 		err = fmt.Errorf("reply exceeds %d bytes", l.MaxBytes)
 	}
@@ -56,49 +58,67 @@
 	return err
 }
 
-// silenceError says that nothing was received for a time.
+// silenceError says that nothing was sent or received for a time.
 type silenceError time.Duration
 
 // Error implements error.
 func (e silenceError) Error() string {
-	return "nothing received for " + time.Duration(e).String()
+	return "silence for " + time.Duration(e).String()
 }
 
-// Timeout reports that the error is a timeout, as net.Error does.
-func (e silenceError) Timeout() bool { return true }
-
-// silenceTimer cancels an exchange with a silenceError unless it is restarted in time.
+// silenceTimer cancels an exchange with a silenceError unless it is restarted in time. It is
+// safe for concurrent use, because a reply may begin before the request is sent completely.
 type silenceTimer struct {
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
-}
 
-func newSilenceTimer(cancel context.CancelCauseFunc) *silenceTimer {
-	return &silenceTimer{cancel: cancel}
+	mu       sync.Mutex
+	timer    *time.Timer
+	hasEnded bool
 }
 
 func (t *silenceTimer) restart(limit time.Duration) {
-	t.stop()
-	if limit > 0 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if limit > 0 && !t.hasEnded {
 		t.timer = time.AfterFunc(limit, func() { t.cancel(silenceError(limit)) })
 	}
 }
 
-func (t *silenceTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
+func (t *silenceTimer) end() {
+	t.mu.Lock()
+	t.hasEnded = true
+	t.mu.Unlock()
+	t.restart(0)
 }
 
-// timedReader restarts a silenceTimer whenever data arrives.
-type timedReader struct {
-	reader io.Reader
-	timer  *silenceTimer
-	pause  time.Duration
+// timedBody restarts a silenceTimer whenever a part of the body is read.
+type timedBody struct {
+	io.ReadCloser
+	timer *silenceTimer
+	limit time.Duration
 }
 
 // Read implements io.Reader.
-func (r *timedReader) Read(p []byte) (int, error) {
-	r.timer.restart(r.pause)
-	return r.reader.Read(p)
+func (b *timedBody) Read(p []byte) (int, error) {
+	b.timer.restart(b.limit)
+	return b.ReadCloser.Read(p)
+}
+
+// withTimedBody makes r restart timer whenever a part of its body is sent. r must not be in
+// use.
+func withTimedBody(r *http.Request, timer *silenceTimer, limit time.Duration) *http.Request {
+	if r.Body == nil || r.Body == http.NoBody {
+		return r
+	}
+	r.Body = &timedBody{ReadCloser: r.Body, timer: timer, limit: limit}
+	if open := r.GetBody; open != nil {
+		r.GetBody = func() (io.ReadCloser, error) {
+			body, err := open()
+			return &timedBody{ReadCloser: body, timer: timer, limit: limit}, err
+		}
+	}
+	return r
 }
--- a/bwhttp/exchange_test.go
+++ b/bwhttp/exchange_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,13 +17,22 @@
 	"gotest.tools/v3/assert"
 )
 
-const serverAddress = "10.0.0.1:80"
+const (
+	serverAddress = "10.0.0.1:80"
+	// uploadRate is the rate of the client's link in bytes a second.
+	uploadRate = 1 << 20
+)
 
 var limits = bwhttp.Limits{Wait: time.Second, Pause: time.Second, MaxBytes: 1 << 20}
 
-// exchange serves one request with handler in simulated time and returns the reply's body, the
-// error and the duration of the exchange.
+// exchange serves a request without a body.
 func exchange(t *testing.T, l bwhttp.Limits, handler func(w http.ResponseWriter, r *http.Request)) (body []byte, took time.Duration, err error) {
+	return exchangeBody(t, l, nil, handler)
+}
+
+// exchangeBody sends one request over a link of uploadRate to handler in simulated time. It
+// returns the reply's body, the error and the duration of the exchange.
+func exchangeBody(t *testing.T, l bwhttp.Limits, request []byte, handler func(w http.ResponseWriter, r *http.Request)) (body []byte, took time.Duration, err error) {
 	synctest.Test(t, func(t *testing.T) {
 		network := bwpipe.New()
 		listener := network.Listen(serverAddress)
@@ -29,8 +42,12 @@
 			defer close(served)
 			_ = bwhttp.Serve(server, listener)
 		}()
-		transport := &http.Transport{DialContext: network.DialContext("10.0.0.2")}
-		r, requestErr := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+serverAddress+"/", nil)
+		dial := network.DialContext("10.0.0.2")
+		transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			return bwpipe.PaceConn(conn, uploadRate), err
+		}}
+		r, requestErr := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+serverAddress+"/", bytes.NewReader(request))
 		assert.NilError(t, requestErr)
 		startedAt := time.Now()
 		_, body, err = bwhttp.Exchange(transport, r, l)
@@ -64,16 +81,29 @@
 // Guards against waiting for a connection that has gone silent before or within a reply.
 func TestExchangeEndsAfterSilence(t *testing.T) {
 	_, took, err := exchange(t, limits, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-	assert.ErrorContains(t, err, "nothing received for 1s")
+	assert.ErrorContains(t, err, "silence for 1s")
 	assert.Equal(t, took, time.Second)
 	_, took, err = exchange(t, limits, func(w http.ResponseWriter, r *http.Request) {
 		writePart(w, 1000)
 		<-r.Context().Done()
 	})
-	assert.ErrorContains(t, err, "1000 bytes of the reply after 1s: nothing received for 1s")
+	assert.ErrorContains(t, err, "1000 bytes of the reply after 1s: silence for 1s")
 	assert.Equal(t, took, time.Second)
 }
 
+// Guards against a request that is given up although it is still being sent.
+func TestExchangeSendsLargeRequestToItsEnd(t *testing.T) {
+	request := make([]byte, 10*uploadRate)
+	body, took, err := exchangeBody(t, limits, request, func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		assert.Check(t, err)
+		_, _ = fmt.Fprint(w, n)
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), fmt.Sprint(len(request)))
+	assert.Assert(t, took >= 10*time.Second && took < 11*time.Second, took)
+}
+
 func TestExchangeWaitsLongerForBeginningOfReply(t *testing.T) {
 	body, took, err := exchange(t, bwhttp.Limits{Wait: 3 * time.Second, Pause: time.Second, MaxBytes: 10}, func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(2 * time.Second)
