bwexecutor: the check of a registration stands beside its type

Package platform only translates; which registrations no executor can have is decided by the package that defines them. The form of the entry (types, states, UTF-8) stays in platform.

--- a/bwexecutor/registration.go
+++ b/bwexecutor/registration.go
@@ -8,6 +8,9 @@
 package bwexecutor
 
 import (
+	"errors"
+	"fmt"
+	"net/netip"
 	"slices"
 
 	"basilwood.example/basilwood/bwjob"
@@ -28,6 +31,42 @@
 	IsDraining bool
 }
 
+// maxCapacity is the maximum amount of one resource of an executor, so that the sums over a
+// pool do not overflow.
+const maxCapacity = 1 << 40
+
+// Validate returns an error if no executor can have this registration. The error does not
+// contain values of the registration, which may be large.
+func (r Registration) Validate() error {
+	switch {
+	case !isPrintable(r.ID):
+		return errors.New("ID is empty or has characters that are not printable ASCII")
+	case r.Pool == "" || r.DataCentre == "":
+		return errors.New("pool or data centre is missing")
+	case r.Incarnation <= 0:
+		return errors.New("incarnation is not positive")
+	}
+	if address, err := netip.ParseAddrPort(r.Address); err != nil || address.Port() == 0 {
+		return errors.New("address is not an IP address with a port")
+	}
+	for _, amount := range []int64{r.Capacity.CPU, r.Capacity.MemoryMB, r.Capacity.Accelerators} {
+		if amount < 0 || amount > maxCapacity {
+			return fmt.Errorf("capacity is not between 0 and %d", int64(maxCapacity))
+		}
+	}
+	return nil
+}
+
+// isPrintable reports whether s is not empty and can be the value of an HTTP header.
+func isPrintable(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return s != ""
+}
+
 // HasLabel reports whether the executor has a label. Every executor has the empty label.
 func (r Registration) HasLabel(label string) bool {
 	return label == "" || slices.Contains(r.Labels, label)
