bwhttp: calls to executors need no silence timer

Each exchange made a context and a timer for its body, also for the calls to executors, the most frequent ones, whose own deadlines are below the limits. Without limits the exchange is now a plain round trip, and one timer serves a whole exchange.

--- a/bwhttp/exchange.go
+++ b/bwhttp/exchange.go
@@ -29,23 +29,34 @@
 // error if a limit is exceeded, the connection fails or the request's context is done. An
 // error after the reply has begun says how much of the body had arrived.
 func Exchange(transport http.RoundTripper, r *http.Request, l Limits) (int, []byte, error) {
+	if l.Wait == 0 && l.Pause == 0 {
+		return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.ReadCloser { return body })
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	timer := &silenceTimer{cancel: cancel}
 	defer timer.end()
-	startedAt := time.Now()
 	timer.restart(l.Wait)
-	resp, err := transport.RoundTrip(withTimedBody(r.WithContext(ctx), timer, l.Wait))
+	r = withTimedBody(r.WithContext(ctx), timer, l.Wait)
+	return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.ReadCloser {
+		return &timedBody{ReadCloser: body, timer: timer, limit: l.Pause}
+	})
+}
+
+// roundTrip sends a request and reads the reply's body through wrapBody.
+func roundTrip(transport http.RoundTripper, r *http.Request, maxBytes int64, wrapBody func(io.ReadCloser) io.ReadCloser) (int, []byte, error) {
+	startedAt := time.Now()
+	resp, err := transport.RoundTrip(r)
 	if err != nil {
-		return 0, nil, exceededLimit(ctx, err)
+		return 0, nil, exceededLimit(r.Context(), err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(&timedBody{ReadCloser: resp.Body, timer: timer, limit: l.Pause}, l.MaxBytes+1))
-	if err == nil && int64(len(body)) > l.MaxBytes {
-		err = fmt.Errorf("reply exceeds %d bytes", l.MaxBytes)
+	body, err := io.ReadAll(io.LimitReader(wrapBody(resp.Body), maxBytes+1))
+	if err == nil && int64(len(body)) > maxBytes {
+		err = fmt.Errorf("reply exceeds %d bytes", maxBytes)
 	}
 	if err != nil {
-		return 0, nil, oops.In("bwhttp").Wrapf(exceededLimit(ctx, err), "%d bytes of the reply after %s", len(body), time.Since(startedAt).Round(time.Millisecond))
+		return 0, nil, oops.In("bwhttp").Wrapf(exceededLimit(r.Context(), err), "%d bytes of the reply after %s", len(body), time.Since(startedAt).Round(time.Millisecond))
 	}
 	return resp.StatusCode, body, nil
 }
@@ -73,25 +84,38 @@
 
 	mu       sync.Mutex
 	timer    *time.Timer
+	limit    time.Duration
 	hasEnded bool
 }
 
 func (t *silenceTimer) restart(limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer != nil {
+	t.limit = limit
+	switch {
+	case t.hasEnded:
+	case t.timer == nil && limit > 0:
+		t.timer = time.AfterFunc(limit, t.expire)
+	case t.timer != nil && limit > 0:
+		t.timer.Reset(limit)
+	case t.timer != nil:
 		t.timer.Stop()
 	}
-	if limit > 0 && !t.hasEnded {
-		t.timer = time.AfterFunc(limit, func() { t.cancel(silenceError(limit)) })
-	}
+}
+
+func (t *silenceTimer) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cancel(silenceError(t.limit))
 }
 
 func (t *silenceTimer) end() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.hasEnded = true
-	t.mu.Unlock()
-	t.restart(0)
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 }
 
 // timedBody restarts a silenceTimer whenever a part of the body is read.
