bwhttp: a large chunk of a reply is read in small parts

A reply in one chunk was taken for silent while it arrived: a read of a chunked body returns only when the chunk ends or the buffer is full, and the buffer of a whole reply grows with it. Above 3.6 MB at 1 MB/s a read took longer than the limit. Found by a scratch test of a storm of large configurations: 2.5 MB of the reply after 2.295 s, silence for 700 ms.

A body is now read in parts of at most 16 KB.

--- a/bwhttp/exchange.go
+++ b/bwhttp/exchange.go
@@ -118,6 +118,10 @@
 	}
 }
 
+// maxReadBytes is the maximum size of one read of a body. A read of a chunked body returns only
+// when the chunk ends or the buffer is full, so a larger one can take longer than the limit.
+const maxReadBytes = 16 << 10
+
 // timedBody restarts a silenceTimer whenever a part of the body is read.
 type timedBody struct {
 	io.ReadCloser
@@ -128,7 +132,7 @@
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
 	b.timer.restart(b.limit)
-	return b.ReadCloser.Read(p)
+	return b.ReadCloser.Read(p[:min(len(p), maxReadBytes)])
 }
 
 // withTimedBody makes r restart timer whenever a part of its body is sent. r must not be in
