bwmirror: a mirror catches up with a value that changes faster than its transfer

A watch returns every version of a value.

When a slow reply has several versions of one key, the mirror lists again, and goes on listing while a slow list has changes.

TestMirrorFollowsValueThatChangesFasterThanItsTransfer: a change was unknown after 3 s before.

--- a/bwmirror/mirror.go
+++ b/bwmirror/mirror.go
@@ -2,8 +2,10 @@
 //
 // A Mirror lists the prefix once and then watches it with long-polling reads. After any
 // failure it lists again, because changes may have been missed if a watch was interrupted or
-// the store has compacted its history. Each change is delivered once, in the order of
-// revisions; an older state of a key is never delivered after a newer one.
+// the store has compacted its history. It also lists again when values change faster than
+// they are transferred: a watch returns every version of a value, a list only the latest. Each
+// change is delivered once, in the order of revisions; an older state of a key is never
+// delivered after a newer one.
 package bwmirror
 
 import (
@@ -23,6 +25,9 @@
 	watchWait = 1000 * time.Millisecond
 	// retryDelay is the delay after a failed call.
 	retryDelay = 200 * time.Millisecond
+	// slowRead is the duration of a read from which its transfer, not the wait for a change,
+	// determines the age of the mirror.
+	slowRead = 500 * time.Millisecond
 	// failureLogInterval is the minimum time between two log lines about a series of failures.
 	failureLogInterval = 5 * time.Second
 )
@@ -121,10 +126,14 @@
 // Run lists and watches the prefix until ctx is done.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := m.load(ctx); err != nil {
+		isBehind, err := m.load(ctx)
+		if err != nil {
 			m.handleFailure(ctx, "list", err)
 			continue
 		}
+		if isBehind {
+			continue
+		}
 		if err := m.watch(ctx); err != nil {
 			m.handleFailure(ctx, "watch", err)
 		}
@@ -187,30 +196,34 @@
 }
 
 // load lists the prefix and applies the result. Items of the mirror that are no longer listed
-// are applied as removals.
-func (m *Mirror) load(ctx context.Context) error {
+// are applied as removals. It reports whether the mirror is behind: the list had changes and
+// took so long that there may be more.
+func (m *Mirror) load(ctx context.Context) (isBehind bool, err error) {
 	sentAt := m.clock.Now()
 	items, revision, err := m.source.List(ctx, m.prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
+	isSlow := m.clock.Now().Sub(sentAt) >= slowRead
 	listed := make(map[string]bool, len(items))
 	changes := items
 	for _, item := range items {
 		listed[item.Key] = true
 	}
 	m.mu.Lock()
+	isFirst := !m.isLoaded
 	for key := range m.items {
 		if !listed[key] {
 			changes = append(changes, bwkv.Item{Key: key, Revision: revision, IsRemoved: true})
 		}
 	}
 	m.mu.Unlock()
-	m.apply(changes, revision, sentAt)
-	return nil
+	applied := m.apply(changes, revision, sentAt)
+	return !isFirst && isSlow && applied > 0, nil
 }
 
-// watch applies changes to the prefix until a call fails or ctx is done.
+// watch applies changes to the prefix until a call fails, the mirror is behind or ctx is done.
+// The mirror is behind if a slow reply had several versions of one key.
 func (m *Mirror) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sentAt := m.clock.Now()
@@ -221,15 +234,31 @@
 		if err != nil {
 			return err
 		}
+		took := m.clock.Now().Sub(sentAt)
 		m.apply(changes, revision, sentAt)
+		if took >= slowRead && hasRepeatedKey(changes) {
+			m.log.Info("values change faster than they are read; listing again", "prefix", m.prefix, "changes", len(changes), "took", took.String())
+			return nil
+		}
 		bwclock.Sleep(ctx, m.minInterval-m.clock.Now().Sub(sentAt))
 	}
 	return ctx.Err()
 }
 
-// apply merges changes into the items, skipping those that are not newer. sentAt is when the
-// read that returned them was sent.
-func (m *Mirror) apply(changes []bwkv.Item, revision int64, sentAt bwclock.Time) {
+func hasRepeatedKey(changes []bwkv.Item) bool {
+	seen := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		if seen[c.Key] {
+			return true
+		}
+		seen[c.Key] = true
+	}
+	return false
+}
+
+// apply merges changes into the items, skipping those that are not newer, and returns how many
+// were newer. sentAt is when the read that returned them was sent.
+func (m *Mirror) apply(changes []bwkv.Item, revision int64, sentAt bwclock.Time) int {
 	m.endOutage()
 	var applied []bwkv.Item
 	m.mu.Lock()
@@ -252,4 +281,5 @@
 	if len(applied) > 0 || isFirstLoad {
 		m.onChange(applied)
 	}
+	return len(applied)
 }
--- a/bwmirror/mirror_test.go
+++ b/bwmirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,3 +86,58 @@
 		assert.Assert(t, m.Failures() > 3)
 	})
 }
+
+// slowLink is access to a store over a link of 1 MB/s.
+type slowLink struct {
+	*bwstandin.KV
+}
+
+func transfer(items []bwkv.Item) {
+	for _, i := range items {
+		time.Sleep(time.Duration(len(i.Value)) * time.Microsecond)
+	}
+}
+
+func (s slowLink) List(ctx context.Context, prefix string) ([]bwkv.Item, int64, error) {
+	items, revision, err := s.KV.List(ctx, prefix)
+	transfer(items)
+	return items, revision, err
+}
+
+func (s slowLink) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bwkv.Item, int64, error) {
+	items, revision, err := s.KV.Watch(ctx, prefix, after, wait)
+	transfer(items)
+	return items, revision, err
+}
+
+// Guards against a mirror that falls behind further with each reply because a value changes faster than it is transferred.
+func TestMirrorFollowsValueThatChangesFasterThanItsTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, versions, maxLag = 330 * time.Millisecond, 90, 3 * time.Second
+		kv := bwstandin.NewKV(1)
+		writtenAt := make(map[int64]time.Time)
+		var received atomic.Int64
+		m := bwmirror.New(slowLink{kv}, "p/", bwclock.New(), hclog.NewNullLogger(), bwmirror.WithOnChange(func(changes []bwkv.Item) {
+			for _, c := range changes {
+				received.Store(c.Revision)
+			}
+		}))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		for range versions {
+			kv.Put("p/large", make([]byte, 850_000))
+			item, err := kv.Get(ctx, "p/large")
+			assert.NilError(t, err)
+			writtenAt[item.Revision] = time.Now()
+			time.Sleep(interval)
+			if next, ok := writtenAt[received.Load()+1]; ok {
+				assert.Assert(t, time.Since(next) < maxLag, "a change is not known after %s", time.Since(next))
+			}
+		}
+	})
+}
