platform: the list of hosts continues after a page that was refused

As in: a refused page made the list of hosts start again at its first page, and the platform refuses calls beyond a rate.

The package comment of bwhttp names exchanges.

--- a/bwhttp/exchange.go
+++ b/bwhttp/exchange.go
@@ -30,7 +30,7 @@
 // error after the reply has begun says how much of the body had arrived.
 func Exchange(transport http.RoundTripper, r *http.Request, l Limits) (int, []byte, error) {
 	if l.Wait == 0 && l.Pause == 0 {
-		return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.ReadCloser { return body })
+		return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.Reader { return body })
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
@@ -38,13 +38,13 @@
 	defer timer.end()
 	timer.restart(l.Wait)
 	r = withTimedBody(r.WithContext(ctx), timer, l.Wait)
-	return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.ReadCloser {
+	return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.Reader {
 		return &timedBody{ReadCloser: body, timer: timer, limit: l.Pause}
 	})
 }
 
 // roundTrip sends a request and reads the reply's body through wrapBody.
-func roundTrip(transport http.RoundTripper, r *http.Request, maxBytes int64, wrapBody func(io.ReadCloser) io.ReadCloser) (int, []byte, error) {
+func roundTrip(transport http.RoundTripper, r *http.Request, maxBytes int64, wrapBody func(io.ReadCloser) io.Reader) (int, []byte, error) {
 	startedAt := time.Now()
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
--- a/bwhttp/server.go
+++ b/bwhttp/server.go
@@ -1,6 +1,7 @@
-// Package bwhttp provides the HTTP servers and JSON replies that all processes share. The
-// servers limit the time to read a request, so that a slow client cannot hold a connection
-// indefinitely.
+// Package bwhttp provides the HTTP servers, JSON replies and exchanges that all processes
+// share. The servers limit the time to read a request, so that a slow client cannot hold a
+// connection indefinitely. The exchanges of clients limit silence, so that a large body arrives
+// over a slow link and a dead connection is still detected.
 package bwhttp
 
 import (
--- a/bwkv/pages.go
+++ b/bwkv/pages.go
@@ -45,11 +45,21 @@
 	return items, revision, nil
 }
 
-func fetchWithRetry(ctx context.Context, after string, fetch func(ctx context.Context, after string) (Page, error)) (Page, error) {
+func fetchWithRetry(ctx context.Context, after string, fetch func(ctx context.Context, after string) (Page, error)) (page Page, err error) {
+	err = RetryPage(ctx, func() error {
+		page, err = fetch(ctx, after)
+		return err
+	})
+	return page, err
+}
+
+// RetryPage calls fetch, which reads one page of a list, until it succeeds, has failed
+// maxPageAttempts times or ctx is done. It returns the last error.
+func RetryPage(ctx context.Context, fetch func() error) error {
 	for attempt := 1; ; attempt++ {
-		page, err := fetch(ctx, after)
+		err := fetch()
 		if err == nil || attempt == maxPageAttempts || !bwclock.Sleep(ctx, pageRetryDelay) {
-			return page, err
+			return err
 		}
 	}
 }
