bwschedule: a failing test of reports with a task that the job does not have

Found while reading for other ways in which input ends a process: an executor that lists a step which its job does not have ends the owner of the pool, index out of range [7] with length 1 in recordOutcome; the same index is used in evict.go and pace.go.

--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -422,3 +422,20 @@
 	}
 	assert.Equal(t, len(h.s.Schedule(h.now)), 1)
 }
+
+// Guards against an owner that ends because an executor reports a task that its job does not have.
+func TestReportOfUnknownTaskIsHarmless(t *testing.T) {
+	for _, id := range []bwjob.TaskID{{Job: "j", Step: 7}, {Job: "j", Step: -1}, {Job: "j", Index: 9}, {Job: "j", Index: -1}, {Job: "j", Occurrence: 3}, {Job: "j", Occurrence: -1}} {
+		h := newHarness(t, 2)
+		h.submit("j", bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 1000}, Estimate: time.Second})
+		h.report("e0", bwexecutor.Report{Incarnation: 1, Running: []bwexecutor.RunStatus{{Task: id, Run: 1, Percent: 100}}})
+		starts := h.scheduleStarts()
+		assert.Equal(t, len(starts), 1, "%+v", id)
+		h.s.Survey(h.now)
+		end := bwexecutor.NumberedEnd{Number: 1, End: bwjob.End{Task: id, Run: 1, Kind: bwjob.EndFailed}}
+		h.report("e0", bwexecutor.Report{Incarnation: 1, Ended: []bwexecutor.NumberedEnd{end}})
+		h.scheduleStarts()
+		h.reportEnd(starts[0], bwjob.EndDone)
+		assert.Equal(t, h.s.Job("j").Phase(), bwjob.Phase_done, "%+v", id)
+	}
+}
