bwnode: a test of odd entries among those of the nodes

The postmortem said from reading alone that odd keys of nodes do not keep a pool from an owner. The test leaves five of them (deep nesting, numbers out of range and very large, a port out of range, bytes that are not text) before a node starts: a job is accepted and done.

--- a/bwnode/registry_test.go
+++ b/bwnode/registry_test.go
@@ -121,3 +121,32 @@
 		assert.Equal(t, decoded, 2*executors+heartbeats)
 	})
 }
+
+// Guards against pools that stay without an owner because another writer left odd entries among those of the nodes.
+func TestOddNodeEntriesDoNotKeepPoolsFromAnOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 0, 1)
+		defer c.close()
+		for id, value := range map[string]string{
+			"nested":   strings.Repeat("[", 400_000) + strings.Repeat("]", 400_000),
+			"huge":     `{"name":"x","incarnation":"x","address":"10.0.9.1:70","power":1e400}`,
+			"powerful": `{"name":"a","incarnation":"a","address":"10.0.9.2:70","power":1e300}`,
+			"port":     `{"name":"b","incarnation":"b","address":"10.0.9.3:99999","power":64}`,
+			"bytes":    "\xff\xfe\x00",
+		} {
+			c.kv.Put("nodes/members/"+id, []byte(value))
+		}
+		c.start()
+		time.Sleep(5 * time.Second)
+		spec := &bwjob.Spec{ID: "job", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 100 * time.Millisecond}}}
+		c.executors.RegisterJob(spec)
+		assert.Equal(t, c.submit(c.queues[0], spec), bwowner.OK)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, c.state(c.queues[0], "job").State, bwowner.Done)
+		c.logMu.Lock()
+		defer c.logMu.Unlock()
+		for _, line := range strings.Split(c.logs.String(), "\n") {
+			assert.Check(t, len(line) < 1000, "log line of %d bytes: %.100s", len(line), line)
+		}
+	})
+}
