bwschedule: a report of a task that its job does not have is harmless

An executor that reported a run or an end of a step beyond the job's steps ended the process of the pool's owner: "index out of range [7] with length 1".

Job.Step and Scheduler.stepOf return false for a step that does not exist, and every place that starts from a reported task uses them.

--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -156,6 +156,14 @@
 	return &o.steps[id.Step].tasks[id.Index]
 }
 
+// Step returns the step of a task. It returns false if the job has no such step or has ended.
+func (j *Job) Step(id TaskID) (Step, bool) {
+	if !j.IsActive() || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return Step{}, false
+	}
+	return j.spec.Steps[id.Step], true
+}
+
 // Assign assigns a task to an executor under the given run number.
 func (j *Job) Assign(id TaskID, executor string, run int) {
 	t := j.Task(id)
--- a/bwschedule/evict.go
+++ b/bwschedule/evict.go
@@ -52,20 +52,19 @@
 }
 
 func (s *Scheduler) isLongRunning(r *bwexecutor.Run) bool {
-	j := s.jobs[r.Task.Job]
-	return j != nil && j.IsActive() && j.Spec().Steps[r.Task.Step].LongRunning
+	step, ok := s.stepOf(r.Task)
+	return ok && step.LongRunning
 }
 
 // mayEvict reports whether the run may be evicted: another executor has capacity for it,
 // and the disruption budget of its step allows it. The budget is ignored on a draining
 // executor, which ends its tasks in any case.
 func (s *Scheduler) mayEvict(r *bwexecutor.Run, isDraining bool, now bwclock.Time) bool {
-	j := s.jobs[r.Task.Job]
-	step := j.Spec().Steps[r.Task.Step]
-	if !s.hasCapacityElsewhere(step, now) {
+	step, ok := s.stepOf(r.Task)
+	if !ok || !s.hasCapacityElsewhere(step, now) {
 		return false
 	}
-	return isDraining || s.countUnavailable(j, r.Task, now) < max(1, step.DisruptionBudget)
+	return isDraining || s.countUnavailable(step, r.Task, now) < max(1, step.DisruptionBudget)
 }
 
 func (s *Scheduler) hasCapacityElsewhere(step bwjob.Step, now bwclock.Time) bool {
@@ -78,10 +77,9 @@
 }
 
 // countUnavailable counts the other tasks of the step that are not known to be available.
-func (s *Scheduler) countUnavailable(j *bwjob.Job, id bwjob.TaskID, now bwclock.Time) int {
+func (s *Scheduler) countUnavailable(step bwjob.Step, id bwjob.TaskID, now bwclock.Time) int {
 	n := 0
-	step := j.Spec().Steps[id.Step]
-	j.EachOpenOccurrence(func(o *bwjob.Occurrence) {
+	s.jobs[id.Job].EachOpenOccurrence(func(o *bwjob.Occurrence) {
 		if o.Index() != id.Occurrence {
 			return
 		}
--- a/bwschedule/pace.go
+++ b/bwschedule/pace.go
@@ -65,20 +65,16 @@
 }
 
 func (s *Scheduler) isBestEffort(r *bwexecutor.Run) bool {
-	j := s.jobs[r.Task.Job]
-	return j != nil && j.IsActive() && j.Spec().Steps[r.Task.Step].BestEffort
+	step, ok := s.stepOf(r.Task)
+	return ok && step.BestEffort
 }
 
 // latencyPressure returns the highest latency of the executor's latency-sensitive tasks, in
 // percent of their objectives, and whether there are any such tasks.
 func (s *Scheduler) latencyPressure(e *bwexecutor.Executor) (worst int, hasLatencySensitive bool) {
 	for _, r := range e.Runs() {
-		j := s.jobs[r.Task.Job]
-		if j == nil || !j.IsActive() {
-			continue
-		}
-		step := j.Spec().Steps[r.Task.Step]
-		if step.LatencyObjective <= 0 || r.Phase != bwexecutor.Running {
+		step, ok := s.stepOf(r.Task)
+		if !ok || step.LatencyObjective <= 0 || r.Phase != bwexecutor.Running {
 			continue
 		}
 		hasLatencySensitive = true
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -82,11 +82,11 @@
 
 // recordOutcome updates the failure history of the executor and of the task.
 func (s *Scheduler) recordOutcome(e *bwexecutor.Executor, j *bwjob.Job, end bwjob.End, now bwclock.Time) {
-	isLongRunning := j.IsActive() && j.Spec().Steps[end.Task.Step].LongRunning
+	step, _ := s.stepOf(end.Task)
 	switch {
 	case end.Kind == bwjob.EndDone:
 		e.RecordSuccess()
-	case end.Kind == bwjob.EndFailed && !isLongRunning:
+	case end.Kind == bwjob.EndFailed && !step.LongRunning:
 		e.RecordFailure(now)
 		j.RecordFailedExecutor(end.Task, e.ID())
 	}
--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -75,7 +75,7 @@
 	case InsufficientCapacity, LeaseExpired:
 		e.PauseStarts(now.Add(refusalBackoff))
 	}
-	if j != nil && j.IsActive() && j.Spec().Steps[r.Task.Step].Gang {
+	if step, ok := s.stepOf(r.Task); ok && step.Gang {
 		s.stopGang(j, r.Task, now)
 	}
 }
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -116,6 +116,16 @@
 // Job returns a job, or nil.
 func (s *Scheduler) Job(id string) *bwjob.Job { return s.jobs[id] }
 
+// stepOf returns the step of a task. It returns false if the task's job is unknown, has ended or
+// has no such step, which an executor may report nevertheless.
+func (s *Scheduler) stepOf(id bwjob.TaskID) (bwjob.Step, bool) {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return bwjob.Step{}, false
+	}
+	return j.Step(id)
+}
+
 // CountJobs returns the number of all jobs and of the active ones.
 func (s *Scheduler) CountJobs() (all, active int) { return len(s.jobs), len(s.active) }
 
