bwowner, bwnode: late passes and the circumstances of a claim are visible

The logs could not tell an owner without processor time from one that waits for executors or lacks them: nothing said how late a scheduling pass was, nor what the host of an owner has and owns.

basilwood_pass_delay_seconds measures the time from an event to its pass; a delay above 0.3 s leaves a line, at most once in 5 s. A claim names the cores of its host, the roles that the node had already and the nodes that it knew. No decision changes.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -126,8 +126,12 @@
 		Expected: []bwkv.Expectation{{Key: key, Revision: c.ExpectedRevision}},
 		Set:      []bwkv.Write{{Key: key, Value: value, Lease: n.lease.currentID()}},
 	})
+	n.mu.Lock()
+	roles, members := len(n.roles), n.view.MemberCount()
+	n.mu.Unlock()
 	n.log.Info("pool claimed", "pool", c.Pool, "reason", c.Reason, "expected", c.ExpectedRevision,
-		"previousMayAct", c.PreviousOwnerMayAct, "outcome", r.Outcome.String(), "revision", r.Revision)
+		"previousMayAct", c.PreviousOwnerMayAct, "outcome", r.Outcome.String(), "revision", r.Revision,
+		"cores", n.identity.Cores, "otherRoles", roles, "members", members)
 	if r.Outcome == bwkv.Committed {
 		n.startRole(c, key, r.Revision)
 	}
--- a/bwowner/metrics.go
+++ b/bwowner/metrics.go
@@ -12,6 +12,7 @@
 	orders        *prometheus.CounterVec
 	orderSeconds  *prometheus.HistogramVec
 	reportSeconds prometheus.Histogram
+	passDelay     prometheus.Histogram
 }
 
 // NewMetrics returns Metrics that are registered with r.
@@ -25,8 +26,11 @@
 		reportSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "basilwood_report_seconds", Help: "Time from asking an executor for a report to its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
+		passDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "basilwood_pass_delay_seconds", Help: "Time from an event to the scheduling pass that handles it.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
 	}
-	r.MustRegister(m.orders, m.orderSeconds, m.reportSeconds)
+	r.MustRegister(m.orders, m.orderSeconds, m.reportSeconds, m.passDelay)
 	return m
 }
 
@@ -43,3 +47,9 @@
 		m.reportSeconds.Observe(took.Seconds())
 	}
 }
+
+func (m *Metrics) observePassDelay(delay time.Duration) {
+	if m != nil {
+		m.passDelay.Observe(delay.Seconds())
+	}
+}
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -34,6 +34,11 @@
 	// arrive close together: the owner of a large pool receives about 4,000 events a second.
 	// It is short compared with the shortest tasks.
 	minPassInterval = 10 * time.Millisecond
+	// latePassDelay is the delay of a scheduling pass from which it counts as late. An event
+	// usually waits for minPassInterval and one pass.
+	latePassDelay = 300 * time.Millisecond
+	// latePassLogInterval is the minimum time between two log lines about late passes.
+	latePassLogInterval = 5 * time.Second
 	// housekeepingInterval is the minimum time between two checks of the leases, the executor
 	// list and the pace of tasks. It is short compared with the safety margin of a lease.
 	housekeepingInterval = 50 * time.Millisecond
@@ -134,14 +139,15 @@
 
 // Owner runs the jobs of one pool. It is safe for concurrent use.
 type Owner struct {
-	deps          Deps
-	ownership     Ownership
-	settings      Settings
-	log           hclog.Logger
-	ctx           context.Context
-	cancel        context.CancelFunc
-	done          chan struct{}
-	passRequested chan struct{}
+	deps      Deps
+	ownership Ownership
+	settings  Settings
+	log       hclog.Logger
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+	// passRequested holds the time of the first request for a pass since the latest pass.
+	passRequested chan bwclock.Time
 	group         sync.WaitGroup
 	lostOnce      sync.Once
 
@@ -161,6 +167,7 @@
 	flushedAt       bwclock.Time
 	housekeptAt     bwclock.Time
 	sweptAt         bwclock.Time
+	latePassAt      bwclock.Time
 }
 
 // New returns an Owner. It does nothing until Run is called.
@@ -175,7 +182,7 @@
 		settings:           settings,
 		log:                log,
 		done:               make(chan struct{}),
-		passRequested:      make(chan struct{}, 1),
+		passRequested:      make(chan bwclock.Time, 1),
 		scheduler:          bwschedule.New(log),
 		sessions:           make(map[string]*session),
 		registrations:      make(map[string]bwexecutor.Registration),
@@ -228,13 +235,17 @@
 	t := time.NewTicker(idlePassInterval)
 	defer t.Stop()
 	for {
+		requestedAt := bwclock.Never
 		select {
 		case <-ctx.Done():
 			return
-		case <-o.passRequested:
+		case requestedAt = <-o.passRequested:
 		case <-t.C:
 		}
 		o.mu.Lock()
+		if requestedAt != bwclock.Never {
+			o.recordPassDelay(requestedAt)
+		}
 		o.runPass()
 		o.mu.Unlock()
 		bwclock.Sleep(ctx, minPassInterval)
@@ -244,11 +255,25 @@
 // requestPass requests a scheduling pass without waiting for it.
 func (o *Owner) requestPass() {
 	select {
-	case o.passRequested <- struct{}{}:
+	case o.passRequested <- o.deps.Clock.Now():
 	default:
 	}
 }
 
+// recordPassDelay records how long a requested pass has waited. Passes are late when the process
+// lacks processor time. The caller holds the lock.
+func (o *Owner) recordPassDelay(requestedAt bwclock.Time) {
+	now := o.deps.Clock.Now()
+	delay := now.Sub(requestedAt)
+	o.deps.Metrics.observePassDelay(delay)
+	if delay < latePassDelay || now.Sub(o.latePassAt) < latePassLogInterval {
+		return
+	}
+	o.latePassAt = now
+	jobs, active := o.scheduler.CountJobs()
+	o.log.Warn("scheduling passes are late", "delay", delay.String(), "jobs", jobs, "activeJobs", active, "executors", len(o.sessions))
+}
+
 // runPass runs the scheduler once and dispatches its orders. The caller holds the lock.
 func (o *Owner) runPass() {
 	if !o.isReady || o.ctx.Err() != nil {
