--- a/bwnode/takeover_test.go
+++ b/bwnode/takeover_test.go
@@ -7,11 +7,15 @@
 	"testing/synctest"
 	"time"
 
+	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwowner"
 	"gotest.tools/v3/assert"
 )
 
+// recoveryTime is how long service may take to return after the loss of all nodes.
+const recoveryTime = 12 * time.Second
+
 // submitTwoStepJob submits a job of two steps of one second each.
 func (c *cluster) submitTwoStepJob() {
 	step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: time.Second}
@@ -152,3 +156,27 @@
 		}
 	})
 }
+
+// Guards against a node that took every pool while it was alone and keeps them when others return.
+func TestPoolsAreSharedAgainAfterOneNodeTookThemAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1, 3)
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		first := c.nodes[0]
+		assert.Assert(t, first.ownsPool("desk") && first.ownsPool("lab"))
+		c.start()
+		c.start()
+		time.Sleep(recoveryTime)
+		for _, node := range c.nodes {
+			assert.Assert(t, !(node.ownsPool("desk") && node.ownsPool("lab")), "node %s still owns both pools after %s", node.host, recoveryTime)
+		}
+		accepted := make(map[string]bwfleet.Queue)
+		for n := range 10 {
+			q, spec := c.randomJob(n)
+			assert.Equal(t, c.submit(q, spec), bwowner.OK)
+			accepted[spec.ID] = q
+		}
+		c.checkSettled(accepted)
+	})
+}
--- a/bwownership/view_test.go
+++ b/bwownership/view_test.go
@@ -148,6 +148,34 @@
 	assert.Equal(t, v.MemberCount(), 2)
 }
 
+// Guards against one node that claims most pools after all nodes have restarted.
+func TestPoolsOfRestartedOwnersGoToDifferentNodes(t *testing.T) {
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6"}
+	var pools, addresses []string
+	var members []bwownership.Member
+	owners := make(map[string]bwownership.Owner)
+	for i, name := range names {
+		pool := fmt.Sprintf("pool%d", i)
+		pools, addresses = append(pools, pool), append(addresses, name+":70")
+		members = append(members, bwownership.Member{Incarnation: name + " again", Address: name + ":70", Revision: 20})
+		owners[pool] = ownedBy(name, int64(5+i))
+	}
+	for _, self := range members {
+		v := bwownership.NewView(self, start)
+		v.SetMembers(members)
+		v.SetOwners(owners, start)
+		for now := start; now.Before(start.Add(500 * time.Millisecond)); now = now.Add(100 * time.Millisecond) {
+			v.AddressesToPing(pools, now)
+			for i, address := range addresses {
+				v.RecordReply(address, bwownership.PingReply{Incarnation: members[i].Incarnation, StoreReachable: true}, now.Add(50*time.Millisecond))
+			}
+			if claims := v.Decide(pools, nil, now.Add(100*time.Millisecond)); len(claims) > 0 {
+				assert.Equal(t, len(claims), 1, "%s claims %v", self.Incarnation, claims)
+			}
+		}
+	}
+}
+
 // A released pool is claimed without waiting for a timeout, because its owner has stopped.
 func TestReleasedPoolIsClaimedAtOnce(t *testing.T) {
 	v := newView("self", "other")
