bwownership: pools of restarted owners count for their successors

Callers saw RECOVER: after the loss of all hosts one host claimed up to four of five roles within 8 ms and had too little processor for them.

Decide counted a pool for its likely successor only if the pool's key was gone. After a restart the keys still name the earlier runs of the owners, so each pool was decided as if no other needed an owner, and a node that had not registered again yet seemed to own what its earlier run had owned: the first nodes that were back won everything. Now every pool that needs a new owner, for whatever reason, is counted for its best successor before the next pool is decided. The current owner is no candidate, as in the ranking.

--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -240,12 +240,16 @@
 	var claims []Claim
 	poolCounts := v.poolCounts()
 	for _, pool := range pools {
-		if c, ok := v.decidePool(pool, running, poolCounts, now); ok {
-			claims = append(claims, c)
+		reason, previousOwnerMayAct := v.replacementReason(pool, running, now)
+		if reason == "" {
+			delete(v.suspicions, pool)
+			continue
 		}
-		if _, isOwned := v.Owner(pool); !isOwned {
-			v.countSuccessor(pool, poolCounts)
+		c := Claim{Pool: pool, ExpectedRevision: v.owners[pool].Revision, PreviousOwnerMayAct: previousOwnerMayAct, Reason: reason}
+		if v.isDue(c, poolCounts, now) {
+			claims = append(claims, c)
 		}
+		v.countSuccessor(pool, poolCounts)
 	}
 	return claims
 }
@@ -261,12 +265,16 @@
 	return counts
 }
 
-// countSuccessor counts a pool without an owner for the node that should claim it, so that
-// pools that lose their owners at the same time go to different nodes.
+// countSuccessor counts a pool that needs a new owner for the node that should claim it, so
+// that pools that lose their owners at the same time go to different nodes.
 func (v *View) countSuccessor(pool string, poolCounts map[string]int) {
+	current := v.owners[pool].Incarnation
 	var best *Member
 	for i := range v.members {
 		m := &v.members[i]
+		if m.Incarnation == current && m.Incarnation != v.self.Incarnation {
+			continue
+		}
 		if best == nil || precedes(pool, *m, *best, poolCounts) {
 			best = m
 		}
@@ -304,32 +312,25 @@
 	v.suspicions = make(map[string]suspicion)
 }
 
-func (v *View) decidePool(pool string, running map[string]int64, poolCounts map[string]int, now bwclock.Time) (Claim, bool) {
-	owner, isOwned := v.Owner(pool)
-	if isOwned && running[pool] == owner.Revision {
-		delete(v.suspicions, pool)
-		return Claim{}, false
-	}
-	reason, previousOwnerMayAct := v.replacementReason(pool, owner, isOwned, now)
-	if reason == "" {
-		delete(v.suspicions, pool)
-		return Claim{}, false
-	}
-	s := v.suspicions[pool]
-	if s.reason == "" || s.revision != owner.Revision {
-		s = suspicion{reason: reason, revision: owner.Revision, since: now}
-		v.suspicions[pool] = s
-	}
-	rank := v.rank(pool, poolCounts)
-	if rank >= maxSuccessors || now.Sub(s.since) < time.Duration(rank)*successorDelay {
-		return Claim{}, false
-	}
-	return Claim{Pool: pool, ExpectedRevision: owner.Revision, PreviousOwnerMayAct: previousOwnerMayAct, Reason: reason}, true
+// isDue reports whether this node should make a claim now: each successor waits for the better
+// ones, counted from when the pool was first seen to need a new owner.
+func (v *View) isDue(c Claim, poolCounts map[string]int, now bwclock.Time) bool {
+	s := v.suspicions[c.Pool]
+	if s.reason == "" || s.revision != c.ExpectedRevision {
+		s = suspicion{reason: c.Reason, revision: c.ExpectedRevision, since: now}
+		v.suspicions[c.Pool] = s
+	}
+	rank := v.rank(c.Pool, poolCounts)
+	return rank < maxSuccessors && now.Sub(s.since) >= time.Duration(rank)*successorDelay
 }
 
 // replacementReason returns the reason why the pool needs a new owner, or "" if it needs
 // none, and whether the previous owner may still act.
-func (v *View) replacementReason(pool string, owner Owner, isOwned bool, now bwclock.Time) (reason string, previousOwnerMayAct bool) {
+func (v *View) replacementReason(pool string, running map[string]int64, now bwclock.Time) (reason string, previousOwnerMayAct bool) {
+	owner, isOwned := v.Owner(pool)
+	if isOwned && running[pool] == owner.Revision {
+		return "", false
+	}
 	if owner.IsReleased {
 		return "owner has released the pool", false
 	}
