bwownership, bwnode: a node hands over a pool to a node with much less load

Callers saw RECOVER: hosts that were away while all pools were claimed came back and stayed idle, while one host owned most pools.

Who owns a pool was decided once, by who was there first, and never again: an owner was replaced only for silence, a restart or the loss of the store. Now an owner compares its pools per core with what other nodes would have after taking one. If one that is registered for 2 s, answers pings and reaches the store would have at most 1/1.25 of its load for 2 s, it hands over the pool with the fewest active jobs, by the path of a planned stop; the host coordinator only if it owns no pool.

TestPoolsMoveToNodeWithLessLoad and TestBalancedNodesKeepTheirPools are new with the function.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -44,7 +44,7 @@
 		}
 	}
 	n.mu.Lock()
-	n.view.SetMembers(members)
+	n.view.SetMembers(members, n.deps.Clock.Now())
 	n.view.SetOwners(owners, n.deps.Clock.Now())
 	replaced := n.replacedRoles(owners)
 	n.mu.Unlock()
@@ -178,6 +178,50 @@
 	return o
 }
 
+// shedLoad hands over one role if another node has much less load than this one.
+func (n *Node) shedLoad() {
+	n.mu.Lock()
+	isNeeded := n.configuration != nil && !n.isStopping && n.lease.isFresh() && n.view.NeedsHandover(n.deps.Clock.Now())
+	roles := make(map[string]role, len(n.roles))
+	for name, r := range n.roles {
+		roles[name] = r
+	}
+	n.mu.Unlock()
+	if !isNeeded {
+		return
+	}
+	name := leastActiveRole(roles)
+	if name == "" {
+		return
+	}
+	n.log.Info("handing over a role to a node with less load", "owned", name, "roles", len(roles), "cores", n.identity.Cores)
+	ctx, cancel := context.WithTimeout(n.ctx, handOverTimeout)
+	defer cancel()
+	n.handOver(ctx, name, roles[name])
+}
+
+// leastActiveRole returns the pool with the fewest active jobs, whose handover disturbs the fewest
+// callers. It returns the host coordinator if there is no pool, and "" if nothing can be handed
+// over now.
+func leastActiveRole(roles map[string]role) string {
+	least, fewest := "", 0
+	hasPool := false
+	for name, r := range roles {
+		o, ok := r.(*bwowner.Owner)
+		if !ok {
+			continue
+		}
+		hasPool = true
+		if jobs := o.CountActiveJobs(); o.IsReady() && (least == "" || jobs < fewest) {
+			least, fewest = name, jobs
+		}
+	}
+	if !hasPool && roles[hostsRole] != nil {
+		return hostsRole
+	}
+	return least
+}
+
 // isConfirmed reports whether this node may still act as the owner of its roles: its lease
 // cannot have expired, and the owners' keys were read within leaseTTL. A more recent
 // replacement may be unknown here; therefore the successor waits for leaseTTL.
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -209,6 +209,7 @@
 	n.spawn(func() { n.operatorKeys.Run(ctx) })
 	n.spawn(func() { n.runPeriodically(ctx, claimInterval, n.claimRoles) })
 	n.spawn(func() { n.runPeriodically(ctx, bwownership.PingInterval, n.pingOwners) })
+	n.spawn(func() { n.runPeriodically(ctx, bwownership.PingInterval, n.shedLoad) })
 	n.goroutines.Wait()
 }
 
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -206,6 +206,14 @@
 	return o.isReady && !o.isStopping
 }
 
+// CountActiveJobs returns the number of the pool's jobs that have not ended.
+func (o *Owner) CountActiveJobs() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, active := o.scheduler.CountJobs()
+	return active
+}
+
 // Run loads the pool and schedules its jobs until ctx is done, Stop is called or another
 // owner takes over the pool.
 func (o *Owner) Run(ctx context.Context) {
--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -3,7 +3,8 @@
 // The key-value service holds a key for each node and one for each owned pool. A node becomes
 // the owner of a pool by writing the pool's key in a transaction. This package only decides
 // which node should try: a View does no I/O. It is updated with the members, the owners and
-// the owners' replies to pings, and returns the claims that this node should make.
+// the owners' replies to pings, and returns the claims that this node should make and the need
+// to hand over a pool to a node with less load.
 //
 // An owner is replaced when its key is gone, when another process answers at its address,
 // when it reports that it does not run the pool, when it does not answer, or when it has lost
@@ -12,6 +13,8 @@
 package bwownership
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -44,6 +47,18 @@
 	pauseThreshold = 600 * time.Millisecond
 	// maxSuccessors is the maximum number of nodes that ping one owner.
 	maxSuccessors = 8
+	// minLoadRatio is how many times the pools per core that another node would have must fit
+	// into those of this node before this node hands over a pool.
+	minLoadRatio = 1.25
+	// settleTime is how long a node must have been registered, and the need to hand over a pool
+	// must have lasted, before a pool is handed over.
+	settleTime = 2 * time.Second
+	// maxReplyAge is the maximum age of a ping reply of a node that is to take over a pool. It
+	// is two ping intervals and a margin.
+	maxReplyAge = 800 * time.Millisecond
+	// maxHandoverTargets is the maximum number of nodes that are pinged in order to hand over a
+	// pool to one of them.
+	maxHandoverTargets = 3
 )
 
 // Member is one running node.
@@ -56,13 +71,13 @@
 	Cores float64
 }
 
-// poolsPerCore returns the number of pools per core if the node owned one more pool.
-func (m Member) poolsPerCore(poolCounts map[string]int) float64 {
+// poolsPerCore returns the number of pools per core if the node owned a number of pools more.
+func (m Member) poolsPerCore(poolCounts map[string]int, more int) float64 {
 	cores := m.Cores
 	if cores <= 0 {
 		cores = 1
 	}
-	return float64(poolCounts[m.Incarnation]+1) / cores
+	return float64(poolCounts[m.Incarnation]+more) / cores
 }
 
 // Owner is the owner of a pool according to the pool's key.
@@ -122,8 +137,12 @@
 	// pingedSince holds the time since which each address has been pinged without interruption.
 	pingedSince map[string]bwclock.Time
 	suspicions  map[string]suspicion
-	startedAt   bwclock.Time
-	decidedAt   bwclock.Time
+	// registeredSince holds the time since which each member has been known.
+	registeredSince map[string]bwclock.Time
+	// overloadedSince is the time since which another node could take over a pool of this one.
+	overloadedSince bwclock.Time
+	startedAt       bwclock.Time
+	decidedAt       bwclock.Time
 }
 
 // NewView returns the view of a node that starts at now.
@@ -136,14 +155,17 @@
 		pings:       make(map[string]*pingHistory),
 		pingedSince: make(map[string]bwclock.Time),
 		suspicions:  make(map[string]suspicion),
-		startedAt:   now,
-		decidedAt:   now,
+
+		registeredSince: make(map[string]bwclock.Time),
+
+		startedAt: now,
+		decidedAt: now,
 	}
 }
 
 // SetMembers replaces the list of registered nodes. Of several nodes at one address only the
 // one with the highest revision is kept, because the others no longer run.
-func (v *View) SetMembers(list []Member) {
+func (v *View) SetMembers(list []Member, now bwclock.Time) {
 	latest := make(map[string]Member)
 	for _, m := range list {
 		if m.Revision >= latest[m.Address].Revision {
@@ -155,6 +177,14 @@
 		v.members = append(v.members, m)
 	}
 	sort.Slice(v.members, func(a, b int) bool { return v.members[a].Incarnation < v.members[b].Incarnation })
+	since := make(map[string]bwclock.Time, len(v.members))
+	for _, m := range v.members {
+		since[m.Incarnation] = now
+		if earlier, ok := v.registeredSince[m.Incarnation]; ok {
+			since[m.Incarnation] = earlier
+		}
+	}
+	v.registeredSince = since
 }
 
 // SetOwners replaces the owners by pool.
@@ -195,7 +225,8 @@
 	}
 }
 
-// AddressesToPing returns the addresses of the owners that this node should ping now.
+// AddressesToPing returns the addresses of the owners, and of the nodes that may take over a pool
+// of this node, that this node should ping now.
 func (v *View) AddressesToPing(pools []string, now bwclock.Time) []string {
 	seen := make(map[string]bool)
 	var list []string
@@ -209,6 +240,12 @@
 		seen[o.Address] = true
 		list = append(list, o.Address)
 	}
+	for _, m := range v.handoverTargets(poolCounts) {
+		if !seen[m.Address] {
+			seen[m.Address] = true
+			list = append(list, m.Address)
+		}
+	}
 	return list
 }
 
@@ -287,13 +324,59 @@
 // precedes reports whether node a precedes node b among the successors for a pool. Nodes
 // with fewer pools per core come first; ties are broken by rendezvous hashing.
 func precedes(pool string, a, b Member, poolCounts map[string]int) bool {
-	if la, lb := a.poolsPerCore(poolCounts), b.poolsPerCore(poolCounts); la != lb {
+	if la, lb := a.poolsPerCore(poolCounts, 1), b.poolsPerCore(poolCounts, 1); la != lb {
 		return la < lb
 	}
 	weight := func(m Member) uint64 { return xxhash.Sum64String(pool + "\x00" + m.Incarnation) }
 	return weight(a) > weight(b)
 }
 
+// NeedsHandover reports whether this node should hand over one of its pools, because another node
+// that runs and reaches the store has much less load. Pools gather on one node when the others
+// are away, and stay there unless they are handed over. It returns true at most once in
+// settleTime, so that the effect of one handover is known before the next.
+func (v *View) NeedsHandover(now bwclock.Time) bool {
+	if !v.hasHandoverTarget(now) {
+		v.overloadedSince = bwclock.Never
+		return false
+	}
+	if v.overloadedSince == bwclock.Never {
+		v.overloadedSince = now
+	}
+	if now.Sub(v.overloadedSince) < settleTime {
+		return false
+	}
+	v.overloadedSince = bwclock.Never
+	return true
+}
+
+func (v *View) hasHandoverTarget(now bwclock.Time) bool {
+	for _, m := range v.handoverTargets(v.poolCounts()) {
+		h := v.pings[m.Address]
+		if h != nil && h.reply.Incarnation == m.Incarnation && h.reply.StoreReachable && now.Sub(h.repliedAt) < maxReplyAge &&
+			now.Sub(v.registeredSince[m.Incarnation]) >= settleTime {
+			return true
+		}
+	}
+	return false
+}
+
+// handoverTargets returns the nodes to which a pool of this node should move, those with the
+// least load first.
+func (v *View) handoverTargets(poolCounts map[string]int) []Member {
+	own := v.self.poolsPerCore(poolCounts, 0)
+	var list []Member
+	for _, m := range v.members {
+		if m.Incarnation != v.self.Incarnation && own >= minLoadRatio*m.poolsPerCore(poolCounts, 1) {
+			list = append(list, m)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Member) int {
+		return cmp.Compare(a.poolsPerCore(poolCounts, 1), b.poolsPerCore(poolCounts, 1))
+	})
+	return list[:min(len(list), maxHandoverTargets)]
+}
+
 // resetTimeouts restarts all timeouts after a pause of this process, during which it could
 // not receive ping replies.
 func (v *View) resetTimeouts(now bwclock.Time) {
@@ -310,6 +393,7 @@
 		v.pingedSince[address] = now
 	}
 	v.suspicions = make(map[string]suspicion)
+	v.overloadedSince = bwclock.Never
 }
 
 // isDue reports whether this node should make a claim now: each successor waits for the better
--- a/bwownership/view_test.go
+++ b/bwownership/view_test.go
@@ -28,7 +28,7 @@
 	for _, o := range others {
 		list = append(list, member(o, 1))
 	}
-	v.SetMembers(list)
+	v.SetMembers(list, start)
 	return v
 }
 
@@ -144,7 +144,7 @@
 
 func TestOnlyLatestIncarnationAtAddressIsMember(t *testing.T) {
 	v := newView("self")
-	v.SetMembers([]bwownership.Member{member("self", 1), member("other", 2), {Incarnation: "other again", Address: "other:70", Revision: 9}})
+	v.SetMembers([]bwownership.Member{member("self", 1), member("other", 2), {Incarnation: "other again", Address: "other:70", Revision: 9}}, start)
 	assert.Equal(t, v.MemberCount(), 2)
 }
 
@@ -162,7 +162,7 @@
 	}
 	for _, self := range members {
 		v := bwownership.NewView(self, start)
-		v.SetMembers(members)
+		v.SetMembers(members, start)
 		v.SetOwners(owners, start)
 		for now := start; now.Before(start.Add(500 * time.Millisecond)); now = now.Add(100 * time.Millisecond) {
 			v.AddressesToPing(pools, now)
@@ -176,6 +176,58 @@
 	}
 }
 
+// decideHandover asks every 300 ms for up to d whether to hand over a pool, and returns after which
+// time the answer was yes; d if it never was. The other node answers pings while reply is set.
+func decideHandover(v *bwownership.View, d time.Duration, reply *bwownership.PingReply) time.Duration {
+	for t := time.Duration(0); t < d; t += bwownership.PingInterval {
+		now := start.Add(t)
+		for _, address := range v.AddressesToPing(pools, now) {
+			if reply != nil {
+				v.RecordReply(address, *reply, now)
+			}
+		}
+		if v.NeedsHandover(now) {
+			return t
+		}
+	}
+	return d
+}
+
+// Guards against pools that stay on a small or full node although another one is free.
+func TestPoolsMoveToNodeWithLessLoad(t *testing.T) {
+	running := &bwownership.PingReply{Incarnation: "other", StoreReachable: true}
+	for _, c := range []struct {
+		name                  string
+		selfCores, otherCores float64
+		reply                 *bwownership.PingReply
+		want                  bool
+	}{
+		{"full node", 0.8, 0.8, running, true},
+		{"small node", 0.2, 0.8, running, true},
+		{"other node is much smaller", 0.8, 0.2, running, false},
+		{"other node does not answer", 0.8, 0.8, nil, false},
+		{"other node has lost the store", 0.8, 0.8, &bwownership.PingReply{Incarnation: "other"}, false},
+		{"another process answers", 0.8, 0.8, &bwownership.PingReply{Incarnation: "other again", StoreReachable: true}, false},
+	} {
+		self, other := member("self", 1), member("other", 1)
+		self.Cores, other.Cores = c.selfCores, c.otherCores
+		v := bwownership.NewView(self, start)
+		v.SetMembers([]bwownership.Member{self, other}, start)
+		ownAll(v, "self")
+		took := decideHandover(v, 10*time.Second, c.reply)
+		assert.Equal(t, took < 10*time.Second, c.want, c.name)
+		assert.Assert(t, took >= 2*time.Second, "%s: after %s", c.name, took)
+	}
+}
+
+// Guards against pools that move back and forth between nodes with nearly the same load.
+func TestBalancedNodesKeepTheirPools(t *testing.T) {
+	v := newView("self", "other")
+	v.SetOwners(map[string]bwownership.Owner{"a": ownedBy("self", 5), "b": ownedBy("self", 6), "c": ownedBy("other", 7)}, start)
+	took := decideHandover(v, 10*time.Second, &bwownership.PingReply{Incarnation: "other", ActivePools: map[string]bool{"c": true}, StoreReachable: true})
+	assert.Equal(t, took, 10*time.Second)
+}
+
 // A released pool is claimed without waiting for a timeout, because its owner has stopped.
 func TestReleasedPoolIsClaimedAtOnce(t *testing.T) {
 	v := newView("self", "other")
@@ -204,7 +256,7 @@
 	after := make(map[string]time.Duration)
 	for _, self := range members {
 		v := bwownership.NewView(self, start)
-		v.SetMembers(members)
+		v.SetMembers(members, start)
 		var claims []bwownership.Claim
 		claims, after[self.Incarnation] = decideUntilClaim(v, start, time.Second, nil)
 		claimed[self.Incarnation] = len(claims)
@@ -226,11 +278,11 @@
 		m.Cores = 1
 		members = append(members, m)
 	}
-	v.SetMembers(members)
+	v.SetMembers(members, start)
 	ownAll(v, "other")
 	claims, _ := decideUntilClaim(v, start, 20*time.Second, nil)
 	assert.Equal(t, len(claims), 0, "there are 20 better successors")
-	v.SetMembers(members[:2])
+	v.SetMembers(members[:2], start.Add(20*time.Second))
 	claims, after := decideUntilClaim(v, start.Add(20*time.Second), 20*time.Second, nil)
 	assert.Equal(t, len(claims), 3)
 	assert.Assert(t, after >= 900*time.Millisecond, "claimed after %s", after)
