bwowner: the stored list keeps executors that are still awaited

Two owners of a pool followed each other within 2.4 s. The second had not heard from most executors of the first yet, and its first write of the executor list named only those that had reported.

The list now also names the executors for which the owner itself still waits, until they report or their leases have ended.

TestSecondTakeoverWaitsForExecutorsOfTheFirst failed before (task started on desk-1 while it is running on desk-0) and passes now. Tests of bwnode and bwschedule: green.

--- a/bwnode/takeover_test.go
+++ b/bwnode/takeover_test.go
@@ -180,3 +180,52 @@
 		c.checkSettled(accepted)
 	})
 }
+
+// Guards against a second change of owner that forgets executors for which the first still waits.
+func TestSecondTakeoverWaitsForExecutorsOfTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 3, 2)
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		first := c.ownerOf("desk")
+		for _, node := range c.nodes {
+			if node == first {
+				node.executors.unreachable.Store("desk-1", true)
+			} else {
+				node.executors.unreachable.Store("desk-0", true)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		spec := &bwjob.Spec{ID: "job", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
+		c.executors.RegisterJob(spec)
+		assert.Equal(t, first.node.Submit(t.Context(), c.queues[0], spec).Verdict, bwowner.OK)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.executors.Running(), 1)
+		// The first owner goes on for a while, because it does not learn of its successor.
+		first.store.isWatchBlocked.Store(true)
+		c.network.Isolate(first.host)
+		time.Sleep(1500 * time.Millisecond)
+		second := c.ownerOf("desk")
+		assert.Assert(t, second != nil && second != first)
+		time.Sleep(500 * time.Millisecond)
+		c.network.Isolate(second.host)
+		second.cancel()
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, len(c.executors.Violations()), 0, "%v", c.executors.Violations())
+		assert.Equal(t, c.executors.Running(), 1)
+	})
+}
+
+// ownerOf returns the node that owns the pool; if several do, the one with the highest fencing token.
+func (c *cluster) ownerOf(pool string) *testNode {
+	var owner *testNode
+	var fence int64
+	for _, node := range c.nodes {
+		for _, p := range node.node.Dump().Pools {
+			if p.Pool == pool && p.Fence > fence {
+				owner, fence = node, p.Fence
+			}
+		}
+	}
+	return owner
+}
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -173,12 +173,13 @@
 }
 
 // executorsToList returns the executors that belong on the stored list. A stopping owner
-// starts no more tasks, so it lists only executors that still run some.
+// starts no more tasks, so it lists only executors that still run some. An awaited executor may
+// still run tasks that the previous owner started.
 func (o *Owner) executorsToList(now bwclock.Time) map[string]bool {
 	wanted := make(map[string]bool)
 	for _, id := range o.scheduler.ExecutorIDs() {
 		e := o.scheduler.Executor(id)
-		if len(e.Runs()) > 0 || !o.isStopping && e.HasReported() && !e.HasLeaseExpired(now) {
+		if len(e.Runs()) > 0 || o.scheduler.IsAwaited(id) || !o.isStopping && e.HasReported() && !e.HasLeaseExpired(now) {
 			wanted[id] = true
 		}
 	}
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -99,6 +99,9 @@
 	s.awaited[id] = until
 }
 
+// IsAwaited reports whether the executor is still awaited.
+func (s *Scheduler) IsAwaited(id string) bool { return s.awaited[id] != bwclock.Never }
+
 // CountAwaitedExecutors returns the number of executors that are still awaited.
 func (s *Scheduler) CountAwaitedExecutors() int { return len(s.awaited) }
 
