bwmaintenance, bwschedule: overdue jobs keep no hosts from urgent work

They counted as demand in full, so all movable hosts stayed with that pool, and the pool whose turn came next got its first hosts 4 to 6 s late (0.2 s in the turn before the fault). Its jobs became overdue in turn.

A survey now tells which part of a pool's demand only overdue jobs need. Shortages are filled in two rounds: first for the other work of all pools, also with hosts that a pool keeps only for overdue jobs, then for everything with hosts that are spare. Overdue jobs still run wherever urgent work leaves room.

--- a/bwmaintenance/moves.go
+++ b/bwmaintenance/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -35,7 +36,10 @@
 
 // demand tracks how many hosts a pool needs.
 type demand struct {
+	// wanted is the number of hosts for all work. urgent leaves out overdue jobs, so that
+	// their backlog does not keep hosts from other pools.
 	wanted int
+	urgent int
 	// peak is the highest recent value of wanted, and peakAt the time when it was last
 	// reached or reset.
 	peak   int
@@ -50,7 +54,8 @@
 		d = &demand{}
 		p.demand[pool] = d
 	}
-	d.wanted = max(minHosts, int(math.Ceil(s.Demand*headroomFactor)))
+	d.wanted = wantedHosts(s.Demand)
+	d.urgent = wantedHosts(s.Demand - s.OverdueDemand)
 	if d.wanted >= d.peak {
 		d.peak, d.peakAt = d.wanted, s.At
 	}
@@ -59,46 +64,76 @@
 	}
 }
 
+func wantedHosts(demand float64) int { return max(minHosts, int(math.Ceil(demand*headroomFactor))) }
+
+// demandLevel selects which part of a pool's demand counts.
+type demandLevel func(d *demand) int
+
+func allWork(d *demand) int    { return d.wanted }
+func urgentWork(d *demand) int { return d.urgent }
+
 // planMoves plans moves of spare hosts to pools with a shortage and of excess hosts to the
-// standby pool.
+// standby pool. Shortages for urgent work come first. They may also take the hosts that other
+// pools keep only for overdue jobs.
 func (p *Planner) planMoves(now bwclock.Time) []Action {
 	standby := p.standbyPool()
 	if standby == "" || p.listedAt == bwclock.Never {
 		return nil
 	}
-	var actions []Action
-	assigned := make(map[string]bool)
-	spare := p.spareHosts(now)
-	for _, pool := range p.surveyedPools(now) {
-		shortage := p.demand[pool].wanted - p.supply(pool) - p.arrivingHosts(pool)
-		for _, id := range spare {
-			h := p.hosts[id]
-			if shortage <= 0 {
-				break
-			}
-			if assigned[id] || h.Pool == pool {
-				continue
-			}
-			assigned[id] = true
-			shortage--
-			actions = append(actions, p.moveOrCordon(h, pool, "demand"))
-		}
-	}
-	unused := p.unusedHosts(spare, assigned)
+	spare := p.spareHosts(now, allWork)
+	m := moves{planner: p, isAssigned: make(map[string]bool), assignedTo: make(map[string]int)}
+	m.fillShortages(now, urgentWork, append(slices.Clip(spare), p.spareHosts(now, urgentWork)...))
+	m.fillShortages(now, allWork, spare)
+	unused := p.unusedHosts(spare, m.isAssigned)
 	excess := p.excessHosts(now)
 	for _, id := range spare {
 		h := p.hosts[id]
 		if excess <= 0 {
 			break
 		}
-		if assigned[id] || unused[h.Pool] <= 0 {
+		if m.isAssigned[id] || unused[h.Pool] <= 0 {
 			continue
 		}
 		unused[h.Pool]--
 		excess--
-		actions = append(actions, p.moveOrCordon(h, standby, "idle"))
+		m.actions = append(m.actions, p.moveOrCordon(h, standby, "idle"))
+	}
+	return m.actions
+}
+
+// moves collects the moves of one plan.
+type moves struct {
+	planner *Planner
+	actions []Action
+	// isAssigned holds the hosts that move, assignedTo how many of them each pool gets.
+	isAssigned map[string]bool
+	assignedTo map[string]int
+}
+
+// fillShortages assigns hosts to the pools that lack some, the one with the largest shortage
+// first.
+func (m *moves) fillShortages(now bwclock.Time, level demandLevel, hosts []string) {
+	for _, pool := range m.planner.surveyedPools(now, level) {
+		shortage := m.planner.shortage(pool, level) - m.assignedTo[pool]
+		for _, id := range hosts {
+			h := m.planner.hosts[id]
+			if shortage <= 0 {
+				break
+			}
+			if m.isAssigned[id] || h.Pool == pool {
+				continue
+			}
+			m.isAssigned[id] = true
+			m.assignedTo[pool]++
+			shortage--
+			m.actions = append(m.actions, m.planner.moveOrCordon(h, pool, "demand"))
+		}
 	}
-	return actions
+}
+
+// shortage returns how many hosts a pool lacks; it is negative if the pool has more than it needs.
+func (p *Planner) shortage(pool string, level demandLevel) int {
+	return level(p.demand[pool]) - p.supply(pool) - p.arrivingHosts(pool)
 }
 
 // excessHosts returns by how many hosts the fleet exceeds the peak of its total demand in
@@ -147,17 +182,20 @@
 
 // surveyedPools returns the pools with a recent survey, the one with the largest shortage of
 // hosts first.
-func (p *Planner) surveyedPools(now bwclock.Time) []string {
+func (p *Planner) surveyedPools(now bwclock.Time, level demandLevel) []string {
 	var list []string
 	for pool, s := range p.surveys {
 		if now.Sub(s.At) < maxSurveyAge && !p.pools[pool].IsStandby {
 			list = append(list, pool)
 		}
 	}
-	shortage := func(pool string) int { return p.demand[pool].wanted - p.supply(pool) - p.arrivingHosts(pool) }
+	shortages := make(map[string]int, len(list))
+	for _, pool := range list {
+		shortages[pool] = p.shortage(pool, level)
+	}
 	sort.Slice(list, func(a, b int) bool {
-		if shortage(list[a]) != shortage(list[b]) {
-			return shortage(list[a]) > shortage(list[b])
+		if shortages[list[a]] != shortages[list[b]] {
+			return shortages[list[a]] > shortages[list[b]]
 		}
 		return list[a] < list[b]
 	})
@@ -167,7 +205,7 @@
 // spareHosts returns the hosts that may be moved: those in standby pools first, then those
 // that their pools do not need, in ascending order of task runs. Hosts with long-running
 // tasks are left out; the other tasks end soon.
-func (p *Planner) spareHosts(now bwclock.Time) []string {
+func (p *Planner) spareHosts(now bwclock.Time, level demandLevel) []string {
 	var standby, idle []string
 	for _, id := range p.hostIDs() {
 		h := p.hosts[id]
@@ -185,7 +223,7 @@
 		}
 	}
 	sort.SliceStable(idle, func(a, b int) bool { return p.runCount(idle[a]) < p.runCount(idle[b]) })
-	return append(standby, p.surplusHosts(idle)...)
+	return append(standby, p.surplusHosts(idle, level)...)
 }
 
 func (p *Planner) runCount(id string) int {
@@ -194,11 +232,11 @@
 }
 
 // surplusHosts returns, for each pool, as many of the given hosts as exceed its demand.
-func (p *Planner) surplusHosts(idle []string) []string {
+func (p *Planner) surplusHosts(idle []string, level demandLevel) []string {
 	var list []string
 	surplus := make(map[string]int)
 	for pool, d := range p.demand {
-		surplus[pool] = p.supply(pool) - d.wanted
+		surplus[pool] = p.supply(pool) - level(d)
 	}
 	for _, id := range idle {
 		h := p.hosts[id]
--- a/bwmaintenance/planner.go
+++ b/bwmaintenance/planner.go
@@ -33,8 +33,10 @@
 // Survey is the state of a pool as reported by its owner.
 type Survey struct {
 	Executors map[string]ExecutorSurvey
-	// Demand is the number of hosts that the due tasks would occupy.
-	Demand float64
+	// Demand is the number of hosts that the due tasks would occupy. OverdueDemand is the part of
+	// it that only overdue jobs need, whose end no longer counts for their callers.
+	Demand        float64
+	OverdueDemand float64
 	// Fence is the fencing token of the reporting owner.
 	Fence int64
 	At    bwclock.Time
--- a/bwmaintenance/planner_test.go
+++ b/bwmaintenance/planner_test.go
@@ -22,6 +22,7 @@
 	runs     map[string]int
 	cordoned map[string]bool
 	demand   map[string]float64
+	overdue  map[string]float64
 	upAt     map[string]bwclock.Time
 	maxDown  int
 }
@@ -29,7 +30,7 @@
 func newSimulation(t *testing.T, pools map[string]int) *simulation {
 	sim := &simulation{
 		t: t, now: start, runs: make(map[string]int), cordoned: make(map[string]bool),
-		demand: make(map[string]float64), upAt: make(map[string]bwclock.Time),
+		demand: make(map[string]float64), overdue: make(map[string]float64), upAt: make(map[string]bwclock.Time),
 		planner: bwmaintenance.NewPlanner(bwmaintenance.Settings{MaintenanceDuration: 2 * time.Second, MoveDuration: 1500 * time.Millisecond}),
 	}
 	sim.planner.SetPools([]bwfleet.Pool{{Name: "desk"}, {Name: "lab"}, {Name: "spare", IsStandby: true}})
@@ -54,7 +55,7 @@
 		}
 	}
 	for _, pool := range []string{"desk", "lab"} {
-		s := bwmaintenance.Survey{Executors: make(map[string]bwmaintenance.ExecutorSurvey), Demand: sim.demand[pool], At: sim.now}
+		s := bwmaintenance.Survey{Executors: make(map[string]bwmaintenance.ExecutorSurvey), Demand: sim.demand[pool], OverdueDemand: sim.overdue[pool], At: sim.now}
 		for _, h := range sim.hosts {
 			if h.Pool == pool && h.State == bwfleet.HostUp {
 				s.Executors[h.Executor] = bwmaintenance.ExecutorSurvey{Runs: sim.runs[h.ID], IsCordoned: sim.cordoned[h.Executor]}
@@ -185,6 +186,20 @@
 	assert.Assert(t, sim.count("desk") <= 4, "desk still has %d hosts", sim.count("desk"))
 }
 
+// Guards against a backlog of overdue jobs that keeps the hosts which another pool needs for jobs
+// in time.
+func TestOverdueBacklogYieldsHostsToUrgentWork(t *testing.T) {
+	sim := newSimulation(t, map[string]int{"desk": 14, "lab": 3, "spare": 0})
+	sim.demand["desk"], sim.overdue["desk"] = 40, 38
+	sim.demand["lab"] = 8
+	for range 25 {
+		sim.step()
+	}
+	assert.Assert(t, sim.count("lab") >= 9, "lab has %d hosts", sim.count("lab"))
+	// What urgent work does not need stays with the backlog.
+	assert.Assert(t, sim.count("desk") >= 6, "desk has %d hosts", sim.count("desk"))
+}
+
 func TestUnansweredMaintenanceCountsAsUnavailable(t *testing.T) {
 	sim := newSimulation(t, map[string]int{"desk": 6})
 	sim.planner.SetWave(bwfleet.Wave{Number: 1, Hosts: []string{"desk-0", "desk-1"}, TimeLimit: time.Minute, MaxUnavailable: 1}, nil, sim.now)
--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -189,7 +189,7 @@
 	if !reply.GetKnown() {
 		return bwmaintenance.Survey{}, ErrNotOwner
 	}
-	survey := bwmaintenance.Survey{Demand: reply.GetDemand(), Fence: reply.GetFence(), Executors: make(map[string]bwmaintenance.ExecutorSurvey)}
+	survey := bwmaintenance.Survey{Demand: reply.GetDemand(), OverdueDemand: reply.GetOverdueDemand(), Fence: reply.GetFence(), Executors: make(map[string]bwmaintenance.ExecutorSurvey)}
 	for _, e := range reply.GetExecutors() {
 		survey.Executors[e.GetId()] = bwmaintenance.ExecutorSurvey{
 			Runs:        int(e.GetRuns()),
@@ -203,7 +203,7 @@
 // EncodeSurvey encodes an owner's survey for another node. known is false if the owner
 // cannot report on the pool yet.
 func EncodeSurvey(s bwmaintenance.Survey, known bool) *SurveyReply {
-	reply := &SurveyReply{Known: known, Demand: s.Demand, Fence: s.Fence}
+	reply := &SurveyReply{Known: known, Demand: s.Demand, OverdueDemand: s.OverdueDemand, Fence: s.Fence}
 	for id, e := range s.Executors {
 		reply.Executors = append(reply.Executors, &ExecutorSurvey{
 			Id:          id,
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -292,6 +292,19 @@
 	assert.Equal(t, h.s.Survey(h.now).Executors["e0"].IsCordoned, true)
 }
 
+func TestSurveyTellsOverdueDemand(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", newStep(4000, 4))
+	assert.Equal(t, len(h.scheduleStarts()), 2)
+	survey := h.s.Survey(h.now)
+	assert.Equal(t, survey.Demand, 4.0)
+	assert.Equal(t, survey.OverdueDemand, 0.0)
+	h.advance(10 * time.Second)
+	survey = h.s.Survey(h.now)
+	assert.Equal(t, survey.Demand, 4.0)
+	assert.Equal(t, survey.OverdueDemand, 4.0)
+}
+
 func TestGangStartsTogetherOrNotAtAll(t *testing.T) {
 	h := newHarness(t, 2)
 	h.submit("small", newStep(3000, 1))
--- a/bwschedule/survey.go
+++ b/bwschedule/survey.go
@@ -28,7 +28,7 @@
 		capacity.CPU = max(capacity.CPU, e.Registration().Capacity.CPU)
 		capacity.MemoryMB = max(capacity.MemoryMB, e.Registration().Capacity.MemoryMB)
 	}
-	survey.Demand = s.demand(capacity, now)
+	survey.Demand, survey.OverdueDemand = s.demand(capacity, now)
 	return survey
 }
 
@@ -37,20 +37,32 @@
 const hostLeadTime = 2 * time.Second
 
 // demand returns how many executors of the given capacity are needed for the due tasks and
-// for those that are forecast.
-func (s *Scheduler) demand(capacity bwjob.Resources, now bwclock.Time) float64 {
+// for those that are forecast, and how many of them only for the tasks of overdue jobs.
+func (s *Scheduler) demand(capacity bwjob.Resources, now bwclock.Time) (total, overdue float64) {
 	if capacity.CPU == 0 || capacity.MemoryMB == 0 {
-		return 0
+		return 0, 0
 	}
-	longRunning, due := s.dueUse()
-	need := longRunning.plus(due.atLeast(s.arrivals.forecast(now, hostLeadTime)))
-	return max(need.cpu/float64(capacity.CPU), need.memory/float64(capacity.MemoryMB))
+	hosts := func(use resourceUse) float64 {
+		return max(use.cpu/float64(capacity.CPU), use.memory/float64(capacity.MemoryMB))
+	}
+	use := s.dueUse(now)
+	forecast := s.arrivals.forecast(now, hostLeadTime)
+	total = hosts(use.longRunning.plus(use.inTime.plus(use.overdue).atLeast(forecast)))
+	return total, total - hosts(use.longRunning.plus(use.inTime.atLeast(forecast)))
+}
+
+// dueUse is the resources that the unfinished tasks of unblocked steps use or would use.
+type dueUse struct {
+	longRunning resourceUse
+	// inTime is for the jobs that can still end while their end counts, overdue for the others.
+	inTime  resourceUse
+	overdue resourceUse
 }
 
-// dueUse returns the resources that the unfinished tasks of unblocked steps use or would use,
-// separately for long-running and other tasks.
-func (s *Scheduler) dueUse() (longRunning, others resourceUse) {
+func (s *Scheduler) dueUse(now bwclock.Time) dueUse {
+	var sum dueUse
 	for _, j := range s.active {
+		rank, _ := s.rank(j, now)
 		j.EachOpenOccurrence(func(o *bwjob.Occurrence) {
 			for i, step := range j.Spec().Steps {
 				if !o.IsUnblocked(j.Spec(), i) {
@@ -58,13 +70,16 @@
 				}
 				r := step.Reserved()
 				need := resourceUse{cpu: float64(r.CPU), memory: float64(r.MemoryMB)}.times(float64(o.CountUnfinished(i)))
-				if step.LongRunning {
-					longRunning = longRunning.plus(need)
-				} else {
-					others = others.plus(need)
+				switch {
+				case step.LongRunning:
+					sum.longRunning = sum.longRunning.plus(need)
+				case rank == rankOverdue:
+					sum.overdue = sum.overdue.plus(need)
+				default:
+					sum.inTime = sum.inTime.plus(need)
 				}
 			}
 		})
 	}
-	return longRunning, others
+	return sum
 }
