bwmesh: a call to a slow node is not given up and sent again

Callers saw 504 for most submissions after the loss of all hosts: the owners were slow, and calls to them were cut off after 0.9 s and sent again over new connections, up to three times. The owner did the work of each copy, and no caller got a reply: with replies after 1.5 s, 0 of 20 submissions were accepted.

The time of an attempt now follows the replies of the node: three times the slowest recent one, at least 0.9 s. A call that a caller has left no longer closes the idle connections of others.

--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt of a call. It limits how long an unresponsive
-	// connection delays a request, and leaves enough time for a slow reply of the store.
-	attemptTimeout = 900 * time.Millisecond
+	// minAttemptTimeout bounds one attempt of a call to a node that replies quickly. It limits how
+	// long an unresponsive connection delays a request, and leaves enough time for a slow reply
+	// of the store.
+	minAttemptTimeout = 900 * time.Millisecond
 	// pingTimeout is several times the latency between data centres.
 	pingTimeout = 400 * time.Millisecond
 )
@@ -30,11 +31,12 @@
 // Mesh calls other nodes. It is safe for concurrent use.
 type Mesh struct {
 	connections *bwpeer.ConnPool
+	replyTimes  *replyTimes
 }
 
 // New returns a Mesh that opens its connections with dial.
 func New(dial bwpeer.Dialer) *Mesh {
-	return &Mesh{connections: bwpeer.NewConnPool(dial)}
+	return &Mesh{connections: bwpeer.NewConnPool(dial), replyTimes: newReplyTimes()}
 }
 
 // Close closes the idle connections.
@@ -91,7 +93,7 @@
 // Pending requests the number of jobs of a queue that have not started from the owner of
 // the pool.
 func (m *Mesh) Pending(ctx context.Context, address, pool, queue string) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, minAttemptTimeout)
 	defer cancel()
 	reply, err := m.client(ctx, address).Pending(ctx, &JobRequest{Pool: pool, Queue: queue})
 	if err != nil {
@@ -124,10 +126,20 @@
 }
 
 func (m *Mesh) callOnce(ctx context.Context, address string, call jobCall) (*JobReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	attempt, cancel := context.WithTimeout(ctx, m.replyTimes.attemptTimeout(address))
 	defer cancel()
-	reply, err := call(ctx, m.client(ctx, address))
-	if err != nil {
+	startedAt := time.Now()
+	reply, err := call(attempt, m.client(attempt, address))
+	took := time.Since(startedAt)
+	switch {
+	case err == nil:
+		m.replyTimes.recordReply(address, took)
+	case ctx.Err() != nil:
+		// The caller has left, which says nothing about the connections.
+	case attempt.Err() != nil:
+		m.replyTimes.recordTimeout(address, took)
+		m.connections.CloseIdle(address)
+	default:
 		m.connections.CloseIdle(address)
 	}
 	return reply, err
