bwowner, bwcommit: submissions are refused while writes are delayed

Callers wait for 2.85 s, so in the worst two seconds 2% of them got a reply, and the jobs of the others were stored and ran in vain, which kept the owner busy for the next ones.

A submission is now refused at once, with Retry-After, while a new write would wait for 0.7 s or more: for the transactions ahead of it at their average duration, or as long as the first write in the queue has waited. What is accepted is stored while its caller waits.

--- a/bwcommit/committer.go
+++ b/bwcommit/committer.go
@@ -31,6 +31,8 @@
 	// transaction.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
+	// commitTimeSamples is the number of transactions over which their duration is averaged.
+	commitTimeSamples = 4
 	// rejectAfter is how long a failing transaction is retried before its writes with
 	// CanReject are rejected. It is about the time after which a caller retries.
 	rejectAfter = 400 * time.Millisecond
@@ -74,6 +76,12 @@
 	SequenceRevision int64
 }
 
+// queuedWrite is a write with the time at which it was queued.
+type queuedWrite struct {
+	Write
+	queuedAt bwclock.Time
+}
+
 // Committer commits the writes of one owner in order. It is safe for concurrent use.
 type Committer struct {
 	store  Store
@@ -83,12 +91,14 @@
 	onLost func(reason string)
 
 	mu           sync.Mutex
-	queue        []Write
+	queue        []queuedWrite
 	wake         chan struct{}
 	sequence     int64
 	isClosed     bool
 	failingSince bwclock.Time
 	isCommitting bool
+	// commitTime is the moving average of the duration of a transaction, retries included.
+	commitTime time.Duration
 }
 
 // New returns a Committer whose transactions are guarded by the keys in guard. If another
@@ -99,10 +109,13 @@
 
 // Add queues writes for the next transaction, in order.
 func (c *Committer) Add(writes ...Write) {
+	now := c.clock.Now()
 	c.mu.Lock()
 	isClosed := c.isClosed
 	if !isClosed {
-		c.queue = append(c.queue, writes...)
+		for _, w := range writes {
+			c.queue = append(c.queue, queuedWrite{Write: w, queuedAt: now})
+		}
 	}
 	c.mu.Unlock()
 	if isClosed {
@@ -124,6 +137,18 @@
 	return c.failingSince != bwclock.Never && now.Sub(c.failingSince) >= rejectAfter
 }
 
+// QueueDelay returns the expected time until a write that is added now is in a transaction. It is
+// at least the time for which the first queued write has waited.
+func (c *Committer) QueueDelay(now bwclock.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 {
+		return 0
+	}
+	transactions := time.Duration(len(c.queue)/maxBatchEntries + 1)
+	return max(now.Sub(c.queue[0].queuedAt), transactions*c.commitTime)
+}
+
 // IsIdle reports whether no writes are queued or in flight.
 func (c *Committer) IsIdle() bool {
 	c.mu.Lock()
@@ -160,7 +185,7 @@
 		size += len(c.queue[n].Value)
 		n++
 	}
-	batch := c.queue[:n:n]
+	batch := writesOf(c.queue[:n])
 	c.queue = c.queue[n:]
 	c.isCommitting = n > 0
 	return batch
@@ -169,7 +194,7 @@
 // close rejects the queued writes, which were never sent, and all later ones.
 func (c *Committer) close() {
 	c.mu.Lock()
-	unsent := c.queue
+	unsent := writesOf(c.queue)
 	c.queue = nil
 	c.isClosed = true
 	c.isCommitting = false
@@ -177,6 +202,14 @@
 	complete(unsent, NotStored)
 }
 
+func writesOf(queue []queuedWrite) []Write {
+	writes := make([]Write, 0, len(queue))
+	for _, w := range queue {
+		writes = append(writes, w.Write)
+	}
+	return writes
+}
+
 func complete(writes []Write, outcome WriteOutcome) {
 	for _, w := range writes {
 		if w.Done != nil {
@@ -192,16 +225,17 @@
 	token := fmt.Sprintf("%d.%d", c.guard.OwnerRevision, c.sequence)
 	backoff := minBackoff
 	mayBeStored := false
+	startedAt := c.clock.Now()
 	for {
 		sent := c.clock.Now()
 		r := c.store.Transact(ctx, c.transaction(batch, token))
 		switch r.Outcome {
 		case bwkv.Committed:
-			c.finishCommit(batch, r.Revision)
+			c.finishCommit(batch, r.Revision, startedAt)
 			return true
 		case bwkv.Conflict:
 			if s := r.ItemOf(c.guard.SequenceKey); string(s.Value) == token {
-				c.finishCommit(batch, s.Revision)
+				c.finishCommit(batch, s.Revision, startedAt)
 				return true
 			}
 			c.handleConflict(r, batch, mayBeStored)
@@ -254,8 +288,9 @@
 	return remaining
 }
 
-func (c *Committer) finishCommit(batch []Write, revision int64) {
+func (c *Committer) finishCommit(batch []Write, revision int64, startedAt bwclock.Time) {
 	c.mu.Lock()
+	c.commitTime += (c.clock.Now().Sub(startedAt) - c.commitTime) / commitTimeSamples
 	failingSince := c.failingSince
 	c.guard.SequenceRevision = revision
 	c.failingSince = bwclock.Never
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -60,6 +60,9 @@
 	ShortRetryDelay = 500 * time.Millisecond
 	// storeRetryDelay is the delay after which a caller may retry when the store is unavailable.
 	storeRetryDelay = time.Second
+	// maxQueueDelay is the delay of queued writes from which submissions are refused. A caller
+	// that has to wait much longer leaves before its job is stored, which then runs in vain.
+	maxQueueDelay = 700 * time.Millisecond
 )
 
 // submission is a submitted job whose record is being stored. reply is set before done is
@@ -102,6 +105,9 @@
 	if o.committer.IsFailing(now) {
 		return nil, Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay}
 	}
+	if o.committer.QueueDelay(now) >= maxQueueDelay {
+		return nil, Reply{Verdict: Refused, Reason: "writes are delayed", RetryAfter: storeRetryDelay}
+	}
 	j := bwjob.New(spec, now)
 	value, err := j.Encode()
 	if err != nil {
