bwschedule: a full pool does not examine every executor for each waiting job

The largest free capacity was computed once at the beginning of a pass. After the first task had taken it, each of the waiting jobs examined all executors in vain. It is now computed again when a task finds no executor, without those that are set aside. HasDueStep stops at the first due step. No decision changes.

--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -123,9 +123,24 @@
 
 // HasDueStep reports whether EachDueStep would visit a step.
 func (j *Job) HasDueStep() bool {
-	hasDue := false
-	j.EachDueStep(func(*Occurrence, int) { hasDue = true })
-	return hasDue
+	if !j.IsActive() {
+		return false
+	}
+	for k := 0; k < j.nextOccurrence; k++ {
+		if o := j.occurrences[k]; o != nil && o.hasDueStep(j.spec) {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Occurrence) hasDueStep(spec *Spec) bool {
+	for i := range o.steps {
+		if o.steps[i].waitingTasks > 0 && o.IsUnblocked(spec, i) {
+			return true
+		}
+	}
+	return false
 }
 
 // IsUnblocked reports whether all steps that a step depends on are done.
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -28,7 +28,7 @@
 	s.setAside = make(map[string]bool)
 	s.hasUnplacedTasks = false
 	candidates := s.candidates(now)
-	s.maxFree = maxFreeOf(candidates)
+	s.maxFree = s.maxFreeOf(candidates)
 	for _, c := range s.jobsByRank(now) {
 		j := c.job
 		j.EachDueStep(func(o *bwjob.Occurrence, step int) {
@@ -51,12 +51,14 @@
 	return list
 }
 
-// maxFreeOf returns the maximum of each free resource over all candidates. A task that
-// does not fit in it fits on none of them.
-func maxFreeOf(candidates []*bwexecutor.Executor) bwjob.Resources {
+// maxFreeOf returns the maximum of each free resource over all candidates that are not set
+// aside. A task that does not fit in it fits on none of them.
+func (s *Scheduler) maxFreeOf(candidates []*bwexecutor.Executor) bwjob.Resources {
 	var largest bwjob.Resources
 	for _, e := range candidates {
-		largest = largest.Max(e.Free())
+		if !s.setAside[e.ID()] {
+			largest = largest.Max(e.Free())
+		}
 	}
 	return largest
 }
@@ -97,6 +99,7 @@
 		if e == nil {
 			s.hasUnplacedTasks = true
 			p.setAsideExecutor()
+			s.maxFree = s.maxFreeOf(candidates)
 			return
 		}
 		s.startTask(j, id, e, tasks[i].Run()+1, now)
@@ -216,7 +219,7 @@
 	var best *bwexecutor.Executor
 	var bestScore score
 	for _, e := range p.candidates {
-		if p.scheduler.setAside[e.ID()] || !e.Free().Fits(need) || !p.isWithinLimit(e, step.MaxPerExecutor) {
+		if !e.Free().Fits(need) || p.scheduler.setAside[e.ID()] || !p.isWithinLimit(e, step.MaxPerExecutor) {
 			continue
 		}
 		sc := p.score(e, step, t)
--- a/bwschedule/scheduler_bench_test.go
+++ b/bwschedule/scheduler_bench_test.go
@@ -94,3 +94,25 @@
 	}
 	return list
 }
+
+// BenchmarkPassAfterEnd measures the end of one run in a full pool and the pass that fills the
+// capacity again, while many other jobs wait.
+func BenchmarkPassAfterEnd(b *testing.B) {
+	for _, executors := range []int{12, 60, 257} {
+		b.Run(fmt.Sprint(executors), func(b *testing.B) {
+			s := fullScheduler(executors, 500)
+			e := s.Executor("e00000")
+			number := int64(0)
+			for b.Loop() {
+				number++
+				statuses := runsOf(e)
+				ended := statuses[0]
+				s.HandleReport(e.ID(), bwexecutor.Report{Incarnation: 1, Running: statuses[1:], Ended: []bwexecutor.NumberedEnd{
+					{Number: number, End: bwjob.End{Task: ended.Task, Run: ended.Run, Kind: bwjob.EndStopped}}}}, start, start)
+				for _, o := range s.Schedule(start) {
+					s.HandleResult(o, bwschedule.Accepted, start)
+				}
+			}
+		})
+	}
+}
