bwexecutor, bwschedule: the end of a job examines only the executors that run it

Each end of a job examined all runs of the pool: 0.16 ms for 257 executors, at 100 to 200 ends a second. Executors count their runs by job, and others are skipped.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -68,6 +68,8 @@
 	incarnation  int64
 	runs         map[bwjob.TaskID]*Run
 	used         bwjob.Resources
+	// runsOfJob counts the runs of each job.
+	runsOfJob map[string]int
 	// unknownSizeRuns counts the runs whose resources are unknown.
 	unknownSizeRuns int
 
@@ -92,7 +94,7 @@
 
 // New returns the state of an executor that has not reported yet.
 func New(r Registration) *Executor {
-	return &Executor{registration: r, isRegistered: true, runs: make(map[bwjob.TaskID]*Run)}
+	return &Executor{registration: r, isRegistered: true, runs: make(map[bwjob.TaskID]*Run), runsOfJob: make(map[string]int)}
 }
 
 // Registration returns the latest registration.
@@ -135,6 +137,9 @@
 // Runs returns the runs by task. The caller must not modify the map.
 func (e *Executor) Runs() map[bwjob.TaskID]*Run { return e.runs }
 
+// HasRunsOf reports whether the executor runs or may run a task of the job.
+func (e *Executor) HasRunsOf(job string) bool { return e.runsOfJob[job] > 0 }
+
 // Run returns the run of a task, or nil.
 func (e *Executor) Run(id bwjob.TaskID) *Run { return e.runs[id] }
 
@@ -150,6 +155,7 @@
 func (e *Executor) Add(r *Run) {
 	e.Remove(r.Task)
 	e.runs[r.Task] = r
+	e.runsOfJob[r.Task.Job]++
 	e.used = e.used.Plus(r.Reserved)
 	if r.HasUnknownSize {
 		e.unknownSizeRuns++
@@ -161,6 +167,9 @@
 	if r := e.runs[id]; r != nil {
 		e.used = e.used.Minus(r.Reserved)
 		delete(e.runs, id)
+		if e.runsOfJob[id.Job]--; e.runsOfJob[id.Job] == 0 {
+			delete(e.runsOfJob, id.Job)
+		}
 		if r.HasUnknownSize {
 			e.unknownSizeRuns--
 		}
@@ -199,6 +208,7 @@
 		lost = append(lost, r)
 	}
 	e.runs = make(map[bwjob.TaskID]*Run)
+	e.runsOfJob = make(map[string]int)
 	e.used = bwjob.Resources{}
 	e.unknownSizeRuns = 0
 	e.clockMillis, e.clockReadAt, e.leaseEnd = 0, bwclock.Never, 0
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -286,6 +286,9 @@
 		"sinceAccepted", now.Sub(j.AcceptedAt()).String())
 	for _, id := range s.ExecutorIDs() {
 		e := s.executors[id]
+		if !e.HasRunsOf(j.ID()) {
+			continue
+		}
 		for _, r := range e.Runs() {
 			if r.Task.Job == j.ID() {
 				r.IsOrphaned = true
--- a/bwschedule/scheduler_bench_test.go
+++ b/bwschedule/scheduler_bench_test.go
@@ -116,3 +116,19 @@
 		})
 	}
 }
+
+// BenchmarkJobEnd measures the submission and the cancellation of a job beside a full pool.
+func BenchmarkJobEnd(b *testing.B) {
+	for _, executors := range []int{12, 60, 257} {
+		b.Run(fmt.Sprint(executors), func(b *testing.B) {
+			s := fullScheduler(executors, 0)
+			for i := 0; b.Loop(); i++ {
+				spec := &bwjob.Spec{ID: fmt.Sprint("job", i), Queue: "q", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 1000}}}}
+				j := bwjob.New(spec, start)
+				s.Submit(j)
+				s.Cancel(j, start)
+				s.RemoveJob(spec.ID)
+			}
+		})
+	}
+}
