--- a/bwstandin/executors.go
+++ b/bwstandin/executors.go
@@ -20,6 +20,8 @@
 	endPollInterval = 10 * time.Millisecond
 	// runStopTime is the time between a stop order and the end of the run.
 	runStopTime = 200 * time.Millisecond
+	// crashDelay is the time from the start of a deadly task to the crash of its executor.
+	crashDelay = 10 * time.Millisecond
 	// executorRestartTime is the time for which a restarted executor refuses connections.
 	executorRestartTime = 600 * time.Millisecond
 	maxOrderDelay       = 10 * time.Second
@@ -37,8 +39,13 @@
 	histories      map[bwjob.TaskID]*taskHistory
 	violations     []string
 	lateOrderRatio float64
+	replyLossRatio float64
 	specs          map[string]*bwjob.Spec
 	failureRatio   float64
+	// deadly holds the tasks that crash the executor that starts them, with the number of
+	// crashes so far. onCrash is called after each crash.
+	deadly  map[bwjob.TaskID]int
+	onCrash func(bwexecutor.Registration)
 }
 
 type executor struct {
@@ -86,6 +93,8 @@
 		executors: make(map[string]*executor),
 		histories: make(map[bwjob.TaskID]*taskHistory),
 		specs:     make(map[string]*bwjob.Spec),
+		deadly:    make(map[bwjob.TaskID]int),
+		onCrash:   func(bwexecutor.Registration) {},
 	}
 }
 
@@ -115,6 +124,13 @@
 	es.lateOrderRatio = ratio
 }
 
+// SetReplyLoss sets the fraction of orders that are executed at once and not answered.
+func (es *Executors) SetReplyLoss(ratio float64) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	es.replyLossRatio = ratio
+}
+
 // SetFailureRatio sets the fraction of runs that fail.
 func (es *Executors) SetFailureRatio(ratio float64) {
 	es.mu.Lock()
@@ -122,6 +138,22 @@
 	es.failureRatio = ratio
 }
 
+// SetDeadly makes a task crash each executor that starts it. onCrash is called with the new
+// registration of the executor.
+func (es *Executors) SetDeadly(task bwjob.TaskID, onCrash func(bwexecutor.Registration)) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	es.deadly[task] = 0
+	es.onCrash = onCrash
+}
+
+// Crashes returns how many executors a deadly task has crashed.
+func (es *Executors) Crashes(task bwjob.TaskID) int {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	return es.deadly[task]
+}
+
 // SetUnreachable makes an executor unreachable while it continues to run, or reachable again.
 func (es *Executors) SetUnreachable(id string, isUnreachable bool) {
 	es.mu.Lock()
@@ -315,8 +347,14 @@
 		return bwowner.ExecutorReply{Result: bwschedule.Unanswered}
 	}
 	es.mu.Lock()
-	defer es.mu.Unlock()
-	return bwowner.ExecutorReply{Result: es.execute(target.ID, e, o, fence, until), Clock: e.clock()}
+	reply := bwowner.ExecutorReply{Result: es.execute(target.ID, e, o, fence, until), Clock: e.clock()}
+	isLost := es.replyLossRatio > 0 && es.random.Float64() < es.replyLossRatio
+	es.mu.Unlock()
+	if isLost {
+		<-ctx.Done()
+		return bwowner.ExecutorReply{Result: bwschedule.Unanswered}
+	}
+	return reply
 }
 
 func (es *Executors) execute(id string, e *executor, o bwschedule.Order, fence, until int64) bwschedule.Result {
@@ -380,6 +418,10 @@
 		r.endKind = bwjob.EndFailed
 	}
 	e.running[o.Task] = r
+	if _, isDeadly := es.deadly[o.Task]; isDeadly {
+		es.deadly[o.Task]++
+		time.AfterFunc(crashDelay, func() { es.onCrash(es.Restart(id)) })
+	}
 	used := bwjob.Resources{}
 	for _, running := range e.running {
 		used = used.Plus(running.reserved)
