bwjob, bwschedule: a task that crashes its executors is given up

When an executor restarted, its runs were released as waiting, and nothing was counted: only ends that an executor reports as failed were attempts. Now each run during which an executor crashed counts for its task, once by its run number, in the job's record. All tasks of an executor crash with it, so the count alone proves little:

- A suspect task is placed where the fewest others, and no other suspects, are lost with it.
- After two crashes early in a run, or three of any kind, it runs alone on an executor that is reserved for it, at most a quarter of the pool at once, and after 5 s without one beside others.
A task that has worked for 30 s is cleared.
- Where a suspect task was started is stored with its record (probation), so that the next owner recognizes the crash by the executor's incarnation.
Runs of an executor that was silent until its lease ended are kept for 15 s until it reports again: another incarnation is a crash, the same one a cut.
A draining executor ends by itself.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -16,6 +16,9 @@
 	leaseExpiryMargin = 200 * time.Millisecond
 	// failureWindow is how long a failure counts against an executor.
 	failureWindow = 6 * time.Second
+	// maxRestartTime is how long a crashed executor may take to report again. Later its crash is
+	// not noticed.
+	maxRestartTime = 15 * time.Second
 	// suspectFailureCount is the number of recent failures without a success in between from
 	// which an executor gets only one task at a time.
 	suspectFailureCount = 3
@@ -70,15 +73,20 @@
 	used         bwjob.Resources
 	// runsOfJob counts the runs of each job.
 	runsOfJob map[string]int
+	// lostRuns are the runs whose lease expired while the executor did not report.
+	lostRuns []*Run
+	lostAt   bwclock.Time
 	// unknownSizeRuns counts the runs whose resources are unknown.
 	unknownSizeRuns int
 
 	// clockMillis is the reading of the executor's clock at the local time clockReadAt.
 	// leaseEnd is on the executor's clock too, in milliseconds.
-	clockMillis     int64
-	clockReadAt     bwclock.Time
-	leaseEnd        int64
-	reportedAt      bwclock.Time
+	clockMillis int64
+	clockReadAt bwclock.Time
+	leaseEnd    int64
+	reportedAt  bwclock.Time
+	// reportedSince is the time of the first report of the current incarnation.
+	reportedSince   bwclock.Time
 	hasReported     bool
 	isReportMissing bool
 
@@ -184,6 +192,9 @@
 
 // RecordReport records that a report arrived at now.
 func (e *Executor) RecordReport(incarnation int64, now bwclock.Time) {
+	if !e.hasReported {
+		e.reportedSince = now
+	}
 	e.incarnation = incarnation
 	e.hasReported = true
 	e.reportedAt = now
@@ -201,6 +212,28 @@
 // ReportedAt returns when the latest report arrived.
 func (e *Executor) ReportedAt() bwclock.Time { return e.reportedAt }
 
+// IsNew reports whether the current incarnation has reported for the first time recently.
+func (e *Executor) IsNew(now bwclock.Time) bool { return now.Sub(e.reportedSince) < failureWindow }
+
+// RecordLostRuns records runs that the executor may have lost in a crash: their lease has expired
+// while it did not report.
+func (e *Executor) RecordLostRuns(runs []*Run, now bwclock.Time) {
+	e.lostRuns, e.lostAt = runs, now
+}
+
+// TakeLostRuns returns the recorded lost runs and forgets them.
+func (e *Executor) TakeLostRuns() []*Run {
+	runs := e.lostRuns
+	e.lostRuns = nil
+	return runs
+}
+
+// IsCrashUnclear reports whether runs were lost recently and it is not known whether the
+// executor has crashed.
+func (e *Executor) IsCrashUnclear(now bwclock.Time) bool {
+	return len(e.lostRuns) > 0 && now.Sub(e.lostAt) < maxRestartTime
+}
+
 // Reset discards the state of an earlier incarnation and returns its runs.
 func (e *Executor) Reset() []*Run {
 	lost := make([]*Run, 0, len(e.runs))
--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -162,6 +162,9 @@
 	}
 }
 
+// Occurrence returns an open occurrence, or nil.
+func (j *Job) Occurrence(index int) *Occurrence { return j.occurrences[index] }
+
 // Task returns the state of a task, or nil if it does not exist or its occurrence is not open.
 func (j *Job) Task(id TaskID) *Task {
 	o := j.occurrences[id.Occurrence]
@@ -244,15 +247,19 @@
 	j.SaveCheckpoint(e.Task, e.Run, e.Checkpoint)
 	t.highestEndedRun = max(t.highestEndedRun, e.Run)
 	t.run = max(t.run, e.Run)
+	hasProbationEnded := t.probation.Run > 0 && t.probation.Run <= e.Run
+	if hasProbationEnded {
+		t.probation = Probation{}
+	}
 	switch {
 	case j.spec.Steps[e.Task.Step].LongRunning:
-		return false
+		return hasProbationEnded
 	case e.Kind == EndDone:
 		j.finishTask(e.Task)
 	case e.Kind == EndFailed:
-		return j.countFailedRun(e, maxAttempts)
+		return j.countFailedRun(e, maxAttempts) || hasProbationEnded
 	default:
-		return false
+		return hasProbationEnded
 	}
 	return true
 }
--- a/bwjob/job_test.go
+++ b/bwjob/job_test.go
@@ -129,6 +129,45 @@
 	})
 }
 
+// Each run counts once, also after a reload, and only crashes that point at the task fail its job.
+func TestCrashesFailJobOnlyWithEvidence(t *testing.T) {
+	id := bwjob.TaskID{Job: "job"}
+	shared, alone, late := bwjob.Crash{IsEarly: true}, bwjob.Crash{IsEarly: true, IsAlone: true}, bwjob.Crash{}
+	lateAlone := bwjob.Crash{IsAlone: true}
+	for _, c := range []struct {
+		name    string
+		crashes []bwjob.Crash
+		want    bwjob.Phase
+	}{
+		{"two", []bwjob.Crash{alone, alone}, bwjob.Phase_active},
+		{"third alone", []bwjob.Crash{shared, shared, alone}, bwjob.Phase_failed},
+		{"third shared", []bwjob.Crash{shared, shared, shared}, bwjob.Phase_active},
+		{"four early", []bwjob.Crash{shared, shared, shared, shared}, bwjob.Phase_failed},
+		{"many late", []bwjob.Crash{late, late, late, late, late, late}, bwjob.Phase_active},
+		{"late and alone once", []bwjob.Crash{late, late, lateAlone}, bwjob.Phase_active},
+		{"late and alone twice", []bwjob.Crash{late, late, lateAlone, lateAlone}, bwjob.Phase_failed},
+	} {
+		for _, reloaded := range []bool{false, true} {
+			j := bwjob.New(&bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{{Count: 2}}}, now)
+			j.OpenDue(now)
+			j.OpenThrough(0)
+			for i, crash := range c.crashes {
+				crash.Run = i + 1
+				assert.Equal(t, j.RecordCrash(id, crash), true)
+				assert.Equal(t, j.IsActive() && j.RecordCrash(id, crash), false, "%s: counted twice", c.name)
+				if reloaded && j.IsActive() {
+					data, err := j.Encode()
+					assert.NilError(t, err)
+					j, err = bwjob.Decode(data)
+					assert.NilError(t, err)
+					assert.Assert(t, j.Task(id).Run() >= crash.Run)
+				}
+			}
+			assert.Equal(t, j.Phase(), c.want, c.name)
+		}
+	}
+}
+
 func TestEndedJobKeepsOnlyIDAndQueue(t *testing.T) {
 	j := bwjob.New(&bwjob.Spec{ID: "job", Queue: "q", Payload: "long", Steps: []bwjob.Step{{Count: 1}}}, now)
 	j.Cancel()
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -80,7 +80,14 @@
 		}
 		t.failedRuns = tr.GetFailedRuns()
 		t.highestEndedRun = int(tr.GetEndedRun())
-		t.run = t.highestEndedRun
+		t.crashedRuns = tr.GetCrashedRuns()
+		t.earlyCrashes = int(tr.GetEarlyCrashes())
+		t.aloneCrashes = int(tr.GetAloneCrashes())
+		t.probation = tr.GetProbation().toProbation()
+		t.run = max(t.highestEndedRun, t.probation.Run)
+		for _, run := range t.crashedRuns {
+			t.run = max(t.run, int(run))
+		}
 		t.checkpoint = tr.GetCheckpoint()
 		j.hasStarted = true
 		if !tr.GetDone() {
@@ -101,16 +108,20 @@
 	for i, s := range o.steps {
 		for n := range s.tasks {
 			t := &s.tasks[n]
-			if t.highestEndedRun == 0 && len(t.failedRuns) == 0 && !t.isDone {
+			if t.highestEndedRun == 0 && len(t.failedRuns) == 0 && !t.isDone && !t.IsSuspect() {
 				continue
 			}
 			r.Tasks = append(r.Tasks, &TaskRecord{
-				Step:       int32(i),
-				Index:      int32(n),
-				Done:       t.isDone,
-				FailedRuns: t.failedRuns,
-				EndedRun:   int32(t.highestEndedRun),
-				Checkpoint: t.checkpointToStore(),
+				Step:         int32(i),
+				Index:        int32(n),
+				Done:         t.isDone,
+				FailedRuns:   t.failedRuns,
+				EndedRun:     int32(t.highestEndedRun),
+				Checkpoint:   t.checkpointToStore(),
+				CrashedRuns:  t.crashedRuns,
+				EarlyCrashes: int32(t.earlyCrashes),
+				AloneCrashes: int32(t.aloneCrashes),
+				Probation:    t.probation.toRecord(),
 			})
 		}
 	}
@@ -125,6 +136,18 @@
 	return t.checkpoint
 }
 
+// toRecord returns nil if there is no run.
+func (p Probation) toRecord() *ProbationRun {
+	if p.Run == 0 {
+		return nil
+	}
+	return &ProbationRun{Run: int32(p.Run), Executor: p.Executor, Incarnation: p.Incarnation, Alone: p.IsAlone}
+}
+
+func (r *ProbationRun) toProbation() Probation {
+	return Probation{Run: int(r.GetRun()), Executor: r.GetExecutor(), Incarnation: r.GetIncarnation(), IsAlone: r.GetAlone()}
+}
+
 func (s Step) toRecord() *StepRecord {
 	r := &StepRecord{
 		Count:                  int32(s.Count),
--- a/bwjob/task.go
+++ b/bwjob/task.go
@@ -1,6 +1,7 @@
 package bwjob
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -19,6 +20,16 @@
 	return fmt.Appendf(nil, "%d.%d.%d", id.Occurrence, id.Step, id.Index), nil
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (id TaskID) Compare(other TaskID) int {
+	return cmp.Or(
+		cmp.Compare(id.Job, other.Job),
+		cmp.Compare(id.Occurrence, other.Occurrence),
+		cmp.Compare(id.Step, other.Step),
+		cmp.Compare(id.Index, other.Index),
+	)
+}
+
 // EndKind is the way in which a run of a task ended.
 type EndKind int
 
@@ -60,6 +71,13 @@
 	highestEndedRun int
 	checkpoint      string
 	executor        string
+	// crashedRuns holds the numbers of the runs during which an executor crashed.
+	crashedRuns []int32
+	// earlyCrashes is how many of the crashes came soon after the start of the run, and
+	// aloneCrashes how many came while no other task ran on the executor.
+	earlyCrashes int
+	aloneCrashes int
+	probation    Probation
 	// failedExecutors holds the executors on which runs failed; it is not stored.
 	failedExecutors []string
 }
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -295,7 +295,7 @@
 		o.dispatch(o.scheduler.Schedule(now))
 		o.requestAdvice()
 	}
-	o.flush(now, o.scheduler.HasDirtyEndedJob() || o.isStopping)
+	o.flush(now, o.scheduler.NeedsFlush() || o.isStopping)
 }
 
 // housekeep does the periodic work that is not needed after each event: it expires leases,
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -310,7 +310,7 @@
 		o.requestPass()
 		return true
 	case bwschedule.OtherIncarnation:
-		o.scheduler.HandleRestart(target.ID)
+		o.scheduler.HandleRestart(target.ID, now)
 		o.requestPass()
 	default:
 		if e := o.scheduler.Executor(target.ID); e != nil {
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -25,9 +25,10 @@
 // those that earlier events have queued.
 func (s *Scheduler) Schedule(now bwclock.Time) []Order {
 	s.evict(now)
-	s.setAside = make(map[string]bool)
 	s.hasUnplacedTasks = false
 	candidates := s.candidates(now)
+	s.setAside = s.reservedExecutors(now)
+	s.placeSuspects(candidates, now)
 	s.maxFree = s.maxFreeOf(candidates)
 	for _, c := range s.jobsByRank(now) {
 		j := c.job
@@ -91,7 +92,7 @@
 	}
 	tasks := o.Tasks(step)
 	for i := range tasks {
-		if !tasks[i].IsWaiting() {
+		if !tasks[i].IsWaiting() || tasks[i].NeedsIsolation() {
 			continue
 		}
 		id := bwjob.TaskID{Job: j.ID(), Occurrence: o.Index(), Step: step, Index: i}
@@ -113,6 +114,9 @@
 	ticket, _ := s.advice.ticket(stepIDOf(id), e.ID(), now)
 	o := Order{Kind: Start, Executor: e.ID(), Task: id, Run: run, Payload: j.Spec().Payload, Checkpoint: t.Checkpoint(), Ticket: ticket}
 	j.Assign(id, e.ID(), run)
+	if t.IsSuspect() {
+		s.startProbation(j, id, run, e)
+	}
 	e.Add(&bwexecutor.Run{Task: id, Number: run, Reserved: j.Spec().Steps[id.Step].Reserved(), OrderedAt: now, Pace: fullPace})
 	s.orders = append(s.orders, o)
 	s.log.Info("start ordered", "job", id.Job, "task", id, "run", run, "executor", e.ID(), "failures", t.Failures(),
@@ -346,7 +350,13 @@
 	if step.DataRack != "" && e.Registration().Rack != step.DataRack {
 		sc.rackDistance = 1
 	}
-	if step.LongRunning {
+	switch {
+	case t.IsSuspect():
+		sc.colocation = p.scheduler.suspectCost(e)
+		if e.IsNew(p.now) {
+			sc.failures++
+		}
+	case step.LongRunning:
 		sc.colocation = p.colocationCost(e, step)
 	}
 	return sc
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -15,8 +15,10 @@
 	}
 	if e.HasReported() && e.Incarnation() != r.Incarnation {
 		s.log.Warn("executor has restarted", "executor", id, "incarnation", r.Incarnation, "lostRuns", len(e.Runs()))
-		s.resetExecutor(e)
+		s.resetExecutor(e, now)
 	}
+	s.resolveProbations(id, r.Incarnation, now)
+	e.TakeLostRuns()
 	e.RecordReport(r.Incarnation, now)
 	for _, end := range r.Ended {
 		if e.MarkEndSeen(end.Number) {
@@ -34,21 +36,43 @@
 	delete(s.awaited, id)
 }
 
-func (s *Scheduler) resetExecutor(e *bwexecutor.Executor) {
-	for _, run := range e.Reset() {
+// resetExecutor releases the tasks of an executor that has restarted, and records the crash.
+func (s *Scheduler) resetExecutor(e *bwexecutor.Executor, now bwclock.Time) {
+	lastReportAt := e.ReportedAt()
+	lost := append(e.TakeLostRuns(), e.Reset()...)
+	for _, run := range lost {
 		if j := s.jobs[run.Task.Job]; j != nil && !run.IsOrphaned {
 			j.Release(run.Task, e.ID())
 		}
 	}
+	if e.Registration().IsDraining {
+		// A draining executor ends by itself.
+		return
+	}
+	for _, run := range lost {
+		if run.Phase != bwexecutor.Starting && !run.IsOrphaned {
+			c := bwjob.Crash{Run: run.Number, IsAlone: len(lost) == 1, IsEarly: lastReportAt.Sub(startOf(run)) < earlyCrashTime}
+			s.recordCrash(run.Task, c, e.ID(), now)
+		}
+	}
+}
+
+// startOf returns when a run is first known to exist, or else when it was ordered.
+func startOf(r *bwexecutor.Run) bwclock.Time {
+	if r.ConfirmedAt == bwclock.Never {
+		return r.OrderedAt
+	}
+	return r.ConfirmedAt
 }
 
 // HandleRestart handles a reply that shows that the executor has restarted under another
 // incarnation.
-func (s *Scheduler) HandleRestart(id string) {
+func (s *Scheduler) HandleRestart(id string, now bwclock.Time) {
 	if e := s.executors[id]; e != nil && e.HasReported() {
 		s.log.Warn("executor replied with another incarnation; its runs are lost", "executor", id, "lostRuns", len(e.Runs()))
-		s.resetExecutor(e)
+		s.resetExecutor(e, now)
 	}
+	s.resolveProbations(id, noIncarnation, now)
 }
 
 // handleEnd applies the end of one run.
@@ -123,6 +147,7 @@
 	}
 	if j := s.jobs[status.Task.Job]; j != nil && j.IsActive() && !r.IsOrphaned {
 		j.SaveCheckpoint(status.Task, status.Run, status.Checkpoint)
+		s.forgetCrashes(j, r, now)
 	}
 	if r.IsOrphaned || r.Phase == bwexecutor.Stopping {
 		s.stopRun(e, r, now, "run is not wanted")
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -60,6 +60,8 @@
 	awaited map[string]bwclock.Time
 	// loaded holds the jobs that a previous owner accepted.
 	loaded map[string]bool
+	// suspects holds what is known of tasks under which executors have crashed.
+	suspects suspects
 }
 
 // New returns a Scheduler without jobs or executors.
@@ -74,6 +76,7 @@
 		awaited:   make(map[string]bwclock.Time),
 		loaded:    make(map[string]bool),
 		advice:    newAdviceCache(),
+		suspects:  newSuspects(),
 	}
 }
 
@@ -90,6 +93,7 @@
 	s.loaded[j.ID()] = true
 	if j.IsActive() {
 		s.active[j.ID()] = j
+		s.loadSuspects(j)
 	}
 }
 
@@ -162,13 +166,17 @@
 		}
 	}
 	s.dirty = make(map[string]bool)
+	s.suspects.hasUnstored = false
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].ID() < jobs[b].ID() })
 	return jobs
 }
 
-// HasDirtyEndedJob reports whether the record of an ended job has changed since the last
-// TakeDirty.
-func (s *Scheduler) HasDirtyEndedJob() bool {
+// NeedsFlush reports whether a change since the last TakeDirty should be stored at once: the end
+// of a job, a crash or the start of a suspect task.
+func (s *Scheduler) NeedsFlush() bool {
+	if s.suspects.hasUnstored {
+		return true
+	}
 	for id := range s.dirty {
 		if j := s.jobs[id]; j != nil && !j.IsActive() {
 			return true
@@ -243,7 +251,7 @@
 			s.log.Warn("executor's lease has ended", "executor", id, "runs", len(e.Runs()), "silentFor", now.Sub(e.ReportedAt()).String())
 			s.releaseAll(id, e, now)
 		}
-		if !e.IsRegistered() && len(e.Runs()) == 0 && s.awaited[id] == bwclock.Never {
+		if !e.IsRegistered() && len(e.Runs()) == 0 && s.awaited[id] == bwclock.Never && !e.IsCrashUnclear(now) {
 			delete(s.executors, id)
 			s.sortedIDs = nil
 			removed = append(removed, id)
@@ -261,6 +269,7 @@
 	for _, r := range runs {
 		s.releaseRun(e, r)
 	}
+	e.RecordLostRuns(runs, now)
 	if len(runs) > 0 {
 		e.RecordFailure(now)
 	}
