bwowner, bwnode: starts respect a capacity that has shrunk

The owner took a new capacity from the registry for each placement already. No tasks are placed now while the copy is older than bounds.contact_ms, and a start is not sent to an executor whose runs exceed its capacity.

TestNoStartsWhileCapacityIsUnknown failed without the check of the age (4000 thousandths of a core reserved of 2000). TestShrunkCapacityLimitsNewTasks, whose executors shrink and grow under load, passes with and without the change.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -142,6 +142,9 @@
 // Free returns the capacity that no run uses or may use.
 func (e *Executor) Free() bwjob.Resources { return e.registration.Capacity.Minus(e.used) }
 
+// IsOverCapacity reports whether the runs use or may use more than the capacity, which may shrink.
+func (e *Executor) IsOverCapacity() bool { return !e.Free().Fits(bwjob.Resources{}) }
+
 // Runs returns the runs by task. The caller must not modify the map.
 func (e *Executor) Runs() map[bwjob.TaskID]*Run { return e.runs }
 
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -170,6 +170,7 @@
 		Metrics:              n.deps.Metrics.Owner(),
 		IsOwnershipConfirmed: n.isConfirmed,
 		IsOwnershipFresh:     n.isFresh,
+		IsRegistryFresh:      n.isRegistryFresh,
 		OnLost:               n.roleLost,
 	}, ownership, n.ownerSettings)
 	n.startReadingExecutors()
@@ -235,6 +236,11 @@
 	return n.deps.Clock.Now().Sub(n.nodeKeys.FreshAt()) < d
 }
 
+// isRegistryFresh reports whether the registrations were read within maxCapacityDelay.
+func (n *Node) isRegistryFresh() bool {
+	return n.maxCapacityDelay == 0 || n.deps.Clock.Now().Sub(n.executorKeys.FreshAt()) < n.maxCapacityDelay
+}
+
 // roleLost drops a role that has detected its replacement.
 func (n *Node) roleLost(pool, reason string) {
 	n.mu.Lock()
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -88,6 +88,9 @@
 	// MaxVisibilityDelay is the time within which every node must know an accepted job; 0
 	// means no bound.
 	MaxVisibilityDelay time.Duration
+	// MaxCapacityDelay is the time within which a change of an executor's capacity must be taken
+	// into account, counted from its registration; 0 means no bound.
+	MaxCapacityDelay time.Duration
 	// HandoverDelay is the time after an order to a host before another process may issue
 	// orders to it.
 	HandoverDelay time.Duration
@@ -122,6 +125,7 @@
 	maintenanceSettings bwmaintenance.Settings
 	handoverDelay       time.Duration
 	maxOwnersAge        time.Duration
+	maxCapacityDelay    time.Duration
 	log                 hclog.Logger
 	lease               *lease
 	nodeKeys            *bwmirror.Mirror
@@ -155,6 +159,7 @@
 		maintenanceSettings: settings.Maintenance,
 		handoverDelay:       settings.HandoverDelay,
 		maxOwnersAge:        maxOwnersAge(settings.MaxVisibilityDelay),
+		maxCapacityDelay:    settings.MaxCapacityDelay,
 		roles:               make(map[string]role),
 		claiming:            make(map[string]bool),
 		pinging:             make(map[string]bool),
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -133,6 +133,9 @@
 	// IsOwnershipFresh reports whether the ownership was confirmed within about the last
 	// second, so that this process is certain to own the pool still.
 	IsOwnershipFresh func() bool
+	// IsRegistryFresh reports whether the registrations were read recently enough to rely on the
+	// capacity of the executors.
+	IsRegistryFresh func() bool
 	// OnLost is called once when another owner has taken over the pool.
 	OnLost func(pool, reason string)
 }
@@ -292,6 +295,7 @@
 		o.housekeep(now)
 	}
 	if o.canSendOrders() {
+		o.scheduler.SetCapacityKnown(o.deps.IsRegistryFresh())
 		o.dispatch(o.scheduler.Schedule(now))
 		o.requestAdvice()
 	}
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -138,9 +138,9 @@
 
 func (s *session) send(order bwschedule.Order) {
 	o := s.owner
-	leaseUntil, ok := s.prepareSend(order)
-	if !ok {
-		o.finishOrder(order, ExecutorReply{Result: bwschedule.NotSent})
+	leaseUntil, result := s.prepareSend(order)
+	if result != bwschedule.Accepted {
+		o.finishOrder(order, ExecutorReply{Result: result})
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
@@ -154,23 +154,31 @@
 	o.finishOrder(order, reply)
 }
 
-// prepareSend reports whether the order may still be sent, and for a start order returns the
-// end of the lease to send with it.
-func (s *session) prepareSend(order bwschedule.Order) (int64, bool) {
+// prepareSend returns Accepted if the order may still be sent, or else its result. For a start order
+// it also returns the end of the lease to send with it.
+func (s *session) prepareSend(order bwschedule.Order) (int64, bwschedule.Result) {
 	o := s.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.ctx.Err() != nil || s.ctx.Err() != nil {
-		return 0, false
+		return 0, bwschedule.NotSent
 	}
 	if order.Kind != bwschedule.Start {
-		return 0, true
+		return 0, bwschedule.Accepted
 	}
 	e := o.scheduler.Executor(s.target.ID)
 	if e == nil || o.isStopping || !o.deps.IsOwnershipConfirmed() || !o.isRunCurrent(order) {
-		return 0, false
+		return 0, bwschedule.NotSent
+	}
+	if e.IsOverCapacity() {
+		// The capacity has shrunk since the task was placed.
+		return 0, bwschedule.InsufficientCapacity
+	}
+	leaseUntil, ok := e.ExtendLease(o.deps.Clock.Now(), o.settings.LeaseLength)
+	if !ok {
+		return 0, bwschedule.NotSent
 	}
-	return e.ExtendLease(o.deps.Clock.Now(), o.settings.LeaseLength)
+	return leaseUntil, bwschedule.Accepted
 }
 
 // isRunCurrent reports whether the run of a start order is still recorded and not orphaned.
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -43,6 +43,9 @@
 
 // candidates returns the executors on which new tasks may be placed now.
 func (s *Scheduler) candidates(now bwclock.Time) []*bwexecutor.Executor {
+	if !s.isCapacityKnown {
+		return nil
+	}
 	var list []*bwexecutor.Executor
 	for _, id := range s.ExecutorIDs() {
 		if e := s.executors[id]; e.IsSchedulable(now, maxReportAge) {
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -47,6 +47,9 @@
 	// evictAfter is the time before which no task is evicted, because a previous owner's stops
 	// may still be in flight.
 	evictAfter bwclock.Time
+	// isCapacityKnown is set while the registrations are recent enough to rely on the capacity of
+	// the executors.
+	isCapacityKnown bool
 	// hasUnplacedTasks is set if a due task could not be placed in the latest pass.
 	hasUnplacedTasks bool
 	// setAside holds the executors that are set aside for a large task in this pass.
@@ -77,6 +80,8 @@
 		loaded:    make(map[string]bool),
 		advice:    newAdviceCache(),
 		suspects:  newSuspects(),
+
+		isCapacityKnown: true,
 	}
 }
 
@@ -225,6 +230,15 @@
 	s.log.Info("executor joined", "executor", r.ID, "address", r.Address, "incarnation", r.Incarnation, "rack", r.Rack)
 }
 
+// SetCapacityKnown sets whether the registrations are recent enough to rely on the capacity of the
+// executors, which may shrink. While they are not, no tasks are placed.
+func (s *Scheduler) SetCapacityKnown(isKnown bool) {
+	if s.isCapacityKnown != isKnown {
+		s.log.Warn("knowledge of the executors' capacity has changed", "isKnown", isKnown)
+	}
+	s.isCapacityKnown = isKnown
+}
+
 // Unregister marks an executor that the registry no longer lists.
 func (s *Scheduler) Unregister(id string) {
 	if e := s.executors[id]; e != nil && e.IsRegistered() {
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -94,6 +94,7 @@
 		Owner:              bwowner.Settings{LeaseLength: min(executorLease, s.MaxLeaseLength), MaxStopTime: s.MaxTaskStopTime, EndedJobRetention: s.EndedJobRetention},
 		Maintenance:        bwmaintenance.Settings{MaintenanceDuration: s.MaintenanceDuration, MoveDuration: s.MoveDuration},
 		MaxVisibilityDelay: s.MaxVisibilityDelay,
+		MaxCapacityDelay:   s.MaxCapacityDelay,
 		HandoverDelay:      s.HandoverDelay,
 	})
 	return &process{settings: s, log: log, node: node, mesh: mesh, callerServer: bwhttp.NewServer(platform.NewIngress(node, log))}
