bwnode: a node with one pool hands over the host coordinator, not the pool

A node that owned one pool beside the host coordinator handed over the pool, which is the busy role: in a play of the cut beside the loss of all hosts the pool in its turn moved, and its owner took 1.5 s to stop. The coordinator serves no callers and goes first now, unless the node owns several pools. The function is named for what it chooses.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -191,7 +191,7 @@
 	if !isNeeded {
 		return
 	}
-	name := leastActiveRole(roles)
+	name := roleToShed(roles)
 	if name == "" {
 		return
 	}
@@ -201,23 +201,22 @@
 	n.handOver(ctx, name, roles[name])
 }
 
-// leastActiveRole returns the pool with the fewest active jobs, whose handover disturbs the fewest
-// callers. It returns the host coordinator if there is no pool, and "" if nothing can be handed
-// over now.
-func leastActiveRole(roles map[string]role) string {
-	least, fewest := "", 0
-	hasPool := false
+// roleToShed returns the role whose handover disturbs the fewest callers: of several pools the one
+// with the fewest active jobs, or else the host coordinator, which serves no callers, or the only
+// pool. It returns "" if none can be handed over now.
+func roleToShed(roles map[string]role) string {
+	pools, least, fewest := 0, "", 0
 	for name, r := range roles {
 		o, ok := r.(*bwowner.Owner)
 		if !ok {
 			continue
 		}
-		hasPool = true
+		pools++
 		if jobs := o.CountActiveJobs(); o.IsReady() && (least == "" || jobs < fewest) {
 			least, fewest = name, jobs
 		}
 	}
-	if !hasPool && roles[hostsRole] != nil {
+	if pools <= 1 && roles[hostsRole] != nil {
 		return hostsRole
 	}
 	return least
--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -155,11 +155,10 @@
 		pings:       make(map[string]*pingHistory),
 		pingedSince: make(map[string]bwclock.Time),
 		suspicions:  make(map[string]suspicion),
+		startedAt:   now,
+		decidedAt:   now,
 
 		registeredSince: make(map[string]bwclock.Time),
-
-		startedAt: now,
-		decidedAt: now,
 	}
 }
 
