bwschedule, bwmaintenance: what the end of a long-running task means for its step is logged

The lines of stops and of ends, and a new one for tasks lost with an executor, now say how many others are unavailable and how many may be. An order to a host names the age of the survey it rests on, what that says of the host, and the time the order took. No decision changes.

--- a/bwmaintenance/coordinator.go
+++ b/bwmaintenance/coordinator.go
@@ -252,13 +252,16 @@
 	}
 	results := make([]Result, len(actions))
 	isEmpty := make([]bool, len(actions))
+	known := make([][]any, len(actions))
+	orderedAt := c.deps.Clock.Now()
 	var wait sync.WaitGroup
 	for i, a := range actions {
 		if a.Kind == ReportWave {
 			continue
 		}
 		if a.Kind == Maintain || a.Kind == Move {
-			c.planner.RecordOrder(a, c.deps.Clock.Now())
+			known[i] = c.planner.describeSurvey(a.Host, orderedAt)
+			c.planner.RecordOrder(a, orderedAt)
 		}
 		wait.Add(1)
 		go func() {
@@ -272,7 +275,8 @@
 	for i, a := range actions {
 		switch a.Kind {
 		case Maintain, Move:
-			c.log.Info("host ordered", "host", a.Host, "pool", a.Pool, "wave", a.Wave, "reason", a.Reason, "result", results[i].String())
+			c.log.Info("host ordered", append([]any{"host", a.Host, "pool", a.Pool, "wave", a.Wave, "reason", a.Reason,
+				"executor", a.Executor, "result", results[i].String(), "took", c.deps.Clock.Now().Sub(orderedAt).String()}, known[i]...)...)
 			if results[i] == Unanswered {
 				c.extendRetention(a.Host)
 			}
--- a/bwmaintenance/planner.go
+++ b/bwmaintenance/planner.go
@@ -418,6 +418,18 @@
 	return p.surveys[h.Pool].Executors[h.Executor].IsCordoned
 }
 
+// describeSurvey returns log fields that tell what the latest survey of a host's pool says of the
+// host, and its age. Standby pools have no surveys.
+func (p *Planner) describeSurvey(id string, now bwclock.Time) []any {
+	h := p.hosts[id]
+	s, ok := p.surveys[h.Pool]
+	if !ok {
+		return nil
+	}
+	e := s.Executors[h.Executor]
+	return []any{"surveyAge", now.Sub(s.At).String(), "cordoned", e.IsCordoned, "runs", e.Runs, "longRunning", e.LongRunning}
+}
+
 // drainBudgets returns how many more hosts of each pool may be drained. The remaining hosts
 // must carry the pool's load and accept its long-running tasks. A wave that is behind
 // schedule may drain one host of a busy pool at a time.
--- a/bwschedule/evict.go
+++ b/bwschedule/evict.go
@@ -8,10 +8,6 @@
 	"basilwood.example/basilwood/bwjob"
 )
 
-// availablePercent is the reported share of full speed, in percent, at which a long-running
-// task counts as available.
-const availablePercent = 100
-
 // cordonMargin is how much longer a cordon must last for a survey to report the executor as
 // cordoned. It covers the time from the survey until an order to the host takes effect.
 const cordonMargin = 900 * time.Millisecond
@@ -75,29 +71,3 @@
 	}
 	return false
 }
-
-// countUnavailable counts the other tasks of the step that are not known to be available.
-func (s *Scheduler) countUnavailable(step bwjob.Step, id bwjob.TaskID, now bwclock.Time) int {
-	n := 0
-	s.jobs[id.Job].EachOpenOccurrence(func(o *bwjob.Occurrence) {
-		if o.Index() != id.Occurrence {
-			return
-		}
-		for i := range o.Tasks(id.Step) {
-			other := bwjob.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}
-			if i != id.Index && !s.isAvailable(&o.Tasks(id.Step)[i], other, step, now) {
-				n++
-			}
-		}
-	})
-	return n
-}
-
-func (s *Scheduler) isAvailable(t *bwjob.Task, id bwjob.TaskID, step bwjob.Step, now bwclock.Time) bool {
-	e := s.executors[t.Executor()]
-	if e == nil || now.Sub(e.ReportedAt()) > maxReportAge {
-		return false
-	}
-	r := e.Run(id)
-	return r != nil && r.Phase == bwexecutor.Running && (r.Status.Percent >= availablePercent || step.BestEffort)
-}
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -45,6 +45,7 @@
 			j.Release(run.Task, e.ID())
 		}
 	}
+	s.logLostTasks(e, lost, "executor has restarted", now)
 	if e.Registration().IsDraining {
 		// A draining executor ends by itself.
 		return
@@ -90,7 +91,8 @@
 	queue := s.queues[j.Spec().Queue]
 	j.OpenThrough(end.Task.Occurrence)
 	s.recordOutcome(e, j, end, now)
-	s.log.Info("run ended", "job", end.Task.Job, "task", end.Task, "run", end.Run, "executor", e.ID(), "how", end.Kind.String())
+	s.log.Info("run ended", append([]any{"job", end.Task.Job, "task", end.Task, "run", end.Run, "executor", e.ID(),
+		"how", end.Kind.String()}, s.availability(end.Task, now)...)...)
 	hasChanged := j.IsActive() && j.RecordEnd(end, maxAttempts(queue))
 	if isCurrent && !isOrphaned && j.IsActive() {
 		j.Release(end.Task, e.ID())
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -283,12 +283,23 @@
 	for _, r := range runs {
 		s.releaseRun(e, r)
 	}
+	s.logLostTasks(e, runs, "lease has ended", now)
 	e.RecordLostRuns(runs, now)
 	if len(runs) > 0 {
 		e.RecordFailure(now)
 	}
 }
 
+// logLostTasks logs the long-running tasks among runs that an executor has lost.
+func (s *Scheduler) logLostTasks(e *bwexecutor.Executor, runs []*bwexecutor.Run, reason string, now bwclock.Time) {
+	for _, r := range runs {
+		if fields := s.availability(r.Task, now); fields != nil && !r.IsOrphaned {
+			s.log.Warn("long-running task lost", append([]any{"job", r.Task.Job, "task", r.Task, "run", r.Number,
+				"executor", e.ID(), "why", reason, "percent", r.Status.Percent}, fields...)...)
+		}
+	}
+}
+
 // releaseRun removes a run that is certain not to run on the executor, now or later.
 func (s *Scheduler) releaseRun(e *bwexecutor.Executor, r *bwexecutor.Run) {
 	e.Remove(r.Task)
@@ -331,10 +342,11 @@
 	if r.StopOrderedAt != bwclock.Never && now.Sub(r.StopOrderedAt) < stopRetryInterval {
 		return
 	}
+	s.log.Info("stop ordered", append([]any{"job", r.Task.Job, "task", r.Task, "run", r.Number, "executor", e.ID(), "why", reason,
+		"draining", e.Registration().IsDraining, "percent", r.Status.Percent}, s.availability(r.Task, now)...)...)
 	if r.Phase == bwexecutor.Running {
 		r.Phase = bwexecutor.Stopping
 	}
 	r.StopOrderedAt = now
 	s.orders = append(s.orders, Order{Kind: Stop, Executor: e.ID(), Task: r.Task, Run: r.Number})
-	s.log.Info("stop ordered", "job", r.Task.Job, "task", r.Task, "run", r.Number, "executor", e.ID(), "why", reason)
 }
