bwschedule: failing test of a lasting job that crashes in series end

Callers saw a lasting service stopped as a whole while its tasks worked. Three crashes of executors under one task, 20 s apart, fail the job, and the stop of its other tasks asks no disruption budget. The test fails on the current code: assertion failed: failed (bwjob.Phase) != active.

--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -350,6 +350,26 @@
 	}
 }
 
+// Guards against a lasting job whose healthy tasks are stopped because executors crash in series.
+func TestCrashesOfExecutorsStopNoHealthyTask(t *testing.T) {
+	h := newHarness(t, 5)
+	lasting := newStep(3000, 3)
+	lasting.LongRunning, lasting.DisruptionBudget = true, 1
+	j := h.submit("lasting", lasting)
+	for range 8 {
+		for _, o := range h.s.Schedule(h.now) {
+			assert.Equal(t, o.Kind, bwschedule.Start, "%v", o)
+			h.s.HandleResult(o, bwschedule.Accepted, h.now)
+		}
+		for range 20 {
+			h.advance(time.Second)
+			h.reportAll()
+		}
+		h.crash(j.Task(bwjob.TaskID{Job: "lasting"}).Executor())
+		assert.Equal(t, j.Phase(), bwjob.Phase_active)
+	}
+}
+
 // An executor whose lease expired may have crashed or may only have been cut off. Its incarnation
 // tells when it is back.
 func TestCrashIsKnownAfterTheLeaseHasExpired(t *testing.T) {
