bwjob, bwschedule: the crash of executors stops no healthy task of a lasting job

Cause: three crashes under one long-running task failed its job, two of them while it happened to be alone on its executor, however long it had worked, and the end of a job stops all its runs without asking the disruption budget.

Now crashes count against a long-running task only in a row, before it has worked, and they end the attempts to start this task. The other tasks of the job run on, and the job fails only if none is left.

--- a/bwjob/crash.go
+++ b/bwjob/crash.go
@@ -5,6 +5,10 @@
 // A task that crashes its executors is given up, because each of its starts costs an executor and
 // everything else that runs there. All tasks of an executor crash with it, so a suspect task has to
 // run alone before its job fails.
+//
+// A job with long-running tasks goes on without the one that is given up, so it fails only if none
+// is left. Executors crash for other reasons too while a long-running task works, so only crashes
+// in a row count against it, before it has worked.
 const (
 	// isolationEarlyCrashes is the number of early crashes, and isolationCrashes that of all
 	// crashes, from which a task must run alone.
@@ -15,7 +19,8 @@
 	failureCrashes      = 3
 	failureAloneCrashes = 2
 	// maxEarlyCrashes is the number of early crashes that fails a job in any case. It is the
-	// number of all crashes for a gang, whose members cannot run alone.
+	// number of all crashes for a gang, whose members cannot run alone, and for a long-running
+	// task.
 	maxEarlyCrashes = 4
 )
 
@@ -37,6 +42,8 @@
 	// IsEarly is set if the executor crashed soon after the start of the run, as it does if the
 	// task is the cause.
 	IsEarly bool
+	// HasWorked is set if the task is long-running and was available during the run.
+	HasWorked bool
 }
 
 // IsSuspect reports whether an executor has crashed during a run of the task.
@@ -74,33 +81,41 @@
 }
 
 // RecordCrash records the crash of an executor during a run of the task, and reports whether it
-// was not known before. The job fails if the task is the likely cause. Runs of a gang's members
-// with the same number count as one.
+// was not known before. If the task is the likely cause, its job fails, or only the task is given
+// up. Runs of a gang's members with the same number count as one.
 func (j *Job) RecordCrash(id TaskID, c Crash) bool {
 	t := j.Task(id)
 	if t == nil || t.isDone {
 		return false
 	}
-	isGang := j.spec.Steps[id.Step].Gang
-	if isGang {
+	step := j.spec.Steps[id.Step]
+	if step.Gang {
 		t = &j.occurrences[id.Occurrence].steps[id.Step].tasks[0]
 	}
 	if slices.Contains(t.crashedRuns, int32(c.Run)) {
 		return false
 	}
 	t.addCrash(c)
-	if t.isLikelyCause(c) || isGang && len(t.crashedRuns) >= maxEarlyCrashes {
+	switch {
+	case !t.isLikelyCause(c, step):
+	case step.LongRunning && !step.Gang:
+		j.giveUp(id)
+		j.failIfNothingIsLeft()
+	default:
 		j.end(Phase_failed)
 	}
 	return true
 }
 
 func (t *Task) addCrash(c Crash) {
+	if c.HasWorked {
+		t.crashedRuns, t.earlyCrashes, t.aloneCrashes = nil, 0, 0
+	}
 	t.crashedRuns = append(t.crashedRuns, int32(c.Run))
-	if c.IsEarly {
+	if c.IsEarly && !c.HasWorked {
 		t.earlyCrashes++
 	}
-	if c.IsAlone {
+	if c.IsAlone && !c.HasWorked {
 		t.aloneCrashes++
 	}
 	t.run = max(t.run, c.Run)
@@ -109,13 +124,49 @@
 	}
 }
 
-// isLikelyCause reports whether the task is the likely cause of its crashes, the latest of which
-// is c.
-func (t *Task) isLikelyCause(c Crash) bool {
-	if t.earlyCrashes >= maxEarlyCrashes {
+// isLikelyCause reports whether a task of the step is the likely cause of its crashes, the latest
+// of which is c. The latest one does not matter for a long-running task.
+func (t *Task) isLikelyCause(c Crash, step Step) bool {
+	crashes := len(t.crashedRuns)
+	switch {
+	case t.earlyCrashes >= maxEarlyCrashes:
+		return true
+	case (step.Gang || step.LongRunning) && crashes >= maxEarlyCrashes:
 		return true
+	case step.LongRunning:
+		return crashes >= failureCrashes && t.aloneCrashes > 0
+	default:
+		return crashes >= failureCrashes && (c.IsAlone && c.IsEarly || t.aloneCrashes >= failureAloneCrashes)
+	}
+}
+
+// giveUp ends the attempts to start a long-running task.
+func (j *Job) giveUp(id TaskID) {
+	t := j.Task(id)
+	if t.isGivenUp {
+		return
+	}
+	s := &j.occurrences[id.Occurrence].steps[id.Step]
+	if t.IsWaiting() {
+		s.waitingTasks--
+	}
+	t.isGivenUp = true
+	s.givenUpTasks++
+}
+
+// failIfNothingIsLeft fails the job if all its unfinished tasks are given up.
+func (j *Job) failIfNothingIsLeft() {
+	if !j.IsActive() || len(j.occurrences)+len(j.finishedOccurrences) < j.spec.OccurrenceCount() {
+		return
+	}
+	for _, o := range j.occurrences {
+		for step := range o.steps {
+			if o.CountUnfinished(step) > 0 {
+				return
+			}
+		}
 	}
-	return len(t.crashedRuns) >= failureCrashes && (c.IsAlone && c.IsEarly || t.aloneCrashes >= failureAloneCrashes)
+	j.end(Phase_failed)
 }
 
 // EachSuspect calls visit for each task of an open occurrence during a run of which an executor
--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -18,6 +18,8 @@
 	tasks           []Task
 	unfinishedTasks int
 	waitingTasks    int
+	// givenUpTasks counts the tasks of a long-running step that are not started again.
+	givenUpTasks int
 }
 
 // Index returns the index of the occurrence, from 0.
@@ -26,11 +28,13 @@
 // Tasks returns the tasks of a step.
 func (o *Occurrence) Tasks(step int) []Task { return o.steps[step].tasks }
 
-// CountWaiting returns how many tasks of a step are neither assigned to an executor nor done.
+// CountWaiting returns how many tasks of a step are to be assigned to an executor.
 func (o *Occurrence) CountWaiting(step int) int { return o.steps[step].waitingTasks }
 
-// CountUnfinished returns how many tasks of a step are not done.
-func (o *Occurrence) CountUnfinished(step int) int { return o.steps[step].unfinishedTasks }
+// CountUnfinished returns how many tasks of a step are neither done nor given up.
+func (o *Occurrence) CountUnfinished(step int) int {
+	return o.steps[step].unfinishedTasks - o.steps[step].givenUpTasks
+}
 
 // Job is the state of an accepted job. Its methods read no clock and send no orders.
 type Job struct {
@@ -200,7 +204,7 @@
 		return
 	}
 	t.executor = ""
-	if !t.isDone {
+	if t.IsWaiting() {
 		j.occurrences[id.Occurrence].steps[id.Step].waitingTasks++
 	}
 }
@@ -256,6 +260,7 @@
 		return hasProbationEnded
 	case e.Kind == EndDone:
 		j.finishTask(e.Task)
+		j.failIfNothingIsLeft()
 	case e.Kind == EndFailed:
 		return j.countFailedRun(e, maxAttempts) || hasProbationEnded
 	default:
--- a/bwjob/job_test.go
+++ b/bwjob/job_test.go
@@ -168,6 +168,59 @@
 	}
 }
 
+// Crashes in a row, before the task has worked, end the attempts to start a long-running task, also
+// after a reload. Its job fails with the last of its tasks.
+func TestCrashesGiveUpLongRunningTaskOnlyWithEvidence(t *testing.T) {
+	id := bwjob.TaskID{Job: "job"}
+	shared, alone := bwjob.Crash{IsEarly: true}, bwjob.Crash{IsEarly: true, IsAlone: true}
+	late, worked := bwjob.Crash{IsAlone: true}, bwjob.Crash{IsAlone: true, HasWorked: true}
+	for _, c := range []struct {
+		name    string
+		crashes []bwjob.Crash
+		want    bool
+	}{
+		{"two", []bwjob.Crash{alone, alone}, false},
+		{"third alone", []bwjob.Crash{shared, shared, alone}, true},
+		{"late", []bwjob.Crash{late, late, late}, true},
+		{"third shared", []bwjob.Crash{shared, shared, shared}, false},
+		{"four shared", []bwjob.Crash{shared, shared, shared, shared}, true},
+		{"worked", []bwjob.Crash{worked, worked, worked, worked, worked, worked}, false},
+		{"worked once", []bwjob.Crash{alone, worked, alone}, false},
+		{"worked, then shared", []bwjob.Crash{worked, shared, shared}, false},
+		{"worked last", []bwjob.Crash{alone, alone, worked, alone}, false},
+	} {
+		for _, tasks := range []int{1, 2} {
+			for _, reloaded := range []bool{false, true} {
+				j := bwjob.New(&bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{{Count: tasks, LongRunning: true}}}, now)
+				j.OpenDue(now)
+				for i, crash := range c.crashes {
+					crash.Run = i + 1
+					assert.Equal(t, j.RecordCrash(id, crash), true)
+					if reloaded && j.IsActive() {
+						data, err := j.Encode()
+						assert.NilError(t, err)
+						j, err = bwjob.Decode(data)
+						assert.NilError(t, err)
+						j.OpenDue(now)
+					}
+				}
+				if c.want && tasks == 1 {
+					assert.Equal(t, j.Phase(), bwjob.Phase_failed, c.name)
+					continue
+				}
+				assert.Equal(t, j.Phase(), bwjob.Phase_active, c.name)
+				assert.Equal(t, j.Task(id).IsWaiting(), !c.want, c.name)
+				waiting := tasks
+				if c.want {
+					waiting--
+				}
+				assert.Equal(t, j.Occurrence(0).CountWaiting(0), waiting, c.name)
+				assert.Equal(t, j.Occurrence(0).CountUnfinished(0), waiting, c.name)
+			}
+		}
+	}
+}
+
 func TestEndedJobKeepsOnlyIDAndQueue(t *testing.T) {
 	j := bwjob.New(&bwjob.Spec{ID: "job", Queue: "q", Payload: "long", Steps: []bwjob.Step{{Count: 1}}}, now)
 	j.Cancel()
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -90,6 +90,9 @@
 		}
 		t.checkpoint = tr.GetCheckpoint()
 		j.hasStarted = true
+		if step := j.spec.Steps[tr.GetStep()]; step.LongRunning && !step.Gang && t.isLikelyCause(Crash{}, step) {
+			j.giveUp(TaskID{Occurrence: o.index, Step: int(tr.GetStep()), Index: int(tr.GetIndex())})
+		}
 		if !tr.GetDone() {
 			continue
 		}
--- a/bwjob/task.go
+++ b/bwjob/task.go
@@ -77,7 +77,10 @@
 	// aloneCrashes how many came while no other task ran on the executor.
 	earlyCrashes int
 	aloneCrashes int
-	probation    Probation
+	// isGivenUp marks a long-running task that is not started again, because it crashes the
+	// executors that start it.
+	isGivenUp bool
+	probation Probation
 	// failedExecutors holds the executors on which runs failed; it is not stored.
 	failedExecutors []string
 }
@@ -100,5 +103,8 @@
 // HasFailedOn reports whether a run of the task failed on the executor.
 func (t *Task) HasFailedOn(executor string) bool { return slices.Contains(t.failedExecutors, executor) }
 
-// IsWaiting reports whether the task is neither assigned to an executor nor done.
-func (t *Task) IsWaiting() bool { return !t.isDone && t.executor == "" }
+// IsWaiting reports whether the task is to be assigned to an executor.
+func (t *Task) IsWaiting() bool { return !t.isDone && !t.isGivenUp && t.executor == "" }
+
+// IsGivenUp reports whether the task is not started again because it crashes its executors.
+func (t *Task) IsGivenUp() bool { return t.isGivenUp }
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -52,12 +52,20 @@
 	}
 	for _, run := range lost {
 		if run.Phase != bwexecutor.Starting && !run.IsOrphaned {
-			c := bwjob.Crash{Run: run.Number, IsAlone: len(lost) == 1, IsEarly: lastReportAt.Sub(startOf(run)) < earlyCrashTime}
+			isEarly := lastReportAt.Sub(startOf(run)) < earlyCrashTime
+			c := bwjob.Crash{Run: run.Number, IsAlone: len(lost) == 1, IsEarly: isEarly, HasWorked: s.hasWorked(run, isEarly)}
 			s.recordCrash(run.Task, c, e.ID(), now)
 		}
 	}
 }
 
+// hasWorked reports whether a long-running task was available during the run. The reported share of
+// full speed does not tell it of a best-effort task, which may be slowed down.
+func (s *Scheduler) hasWorked(r *bwexecutor.Run, isEarly bool) bool {
+	step, ok := s.stepOf(r.Task)
+	return ok && step.LongRunning && (r.Status.Percent >= availablePercent || step.BestEffort && !isEarly)
+}
+
 // startOf returns when a run is first known to exist, or else when it was ordered.
 func startOf(r *bwexecutor.Run) bwclock.Time {
 	if r.ConfirmedAt == bwclock.Never {
@@ -172,7 +180,7 @@
 	} else {
 		r.Reserved = j.Spec().Steps[status.Task.Step].Reserved()
 	}
-	if t == nil || !t.IsWaiting() || status.Run <= t.Run() && t.Failures() > 0 {
+	if t == nil || t.IsDone() || t.Executor() != "" || status.Run <= t.Run() && t.Failures() > 0 {
 		r.IsOrphaned = true
 		s.log.Warn("executor reported an orphaned run", "job", status.Task.Job, "task", status.Task, "run", status.Run, "executor", e.ID())
 	} else {
--- a/bwschedule/suspect.go
+++ b/bwschedule/suspect.go
@@ -84,15 +84,15 @@
 	if j == nil || !j.IsActive() || !j.RecordCrash(id, c) {
 		return
 	}
-	crashes := 0
+	crashes, isGivenUp := 0, false
 	if t := j.Task(id); t != nil {
-		crashes = t.Crashes()
+		crashes, isGivenUp = t.Crashes(), t.IsGivenUp()
 		if t.NeedsIsolation() {
 			s.suspects.isolated[id] = bwclock.Never
 		}
 	}
 	s.log.Warn("executor crashed during a run", "job", id.Job, "task", id, "run", c.Run, "executor", executor,
-		"alone", c.IsAlone, "early", c.IsEarly, "crashes", crashes, "phase", j.Phase().String())
+		"alone", c.IsAlone, "early", c.IsEarly, "worked", c.HasWorked, "crashes", crashes, "givenUp", isGivenUp, "phase", j.Phase().String())
 	s.suspects.hasUnstored = true
 	s.handleJobChange(j, now)
 }
@@ -157,7 +157,7 @@
 func (s *Scheduler) placeSuspects(candidates []*bwexecutor.Executor, now bwclock.Time) {
 	for _, id := range slices.SortedFunc(maps.Keys(s.suspects.isolated), bwjob.TaskID.Compare) {
 		t := s.activeTask(id)
-		if t == nil || t.IsDone() || !t.NeedsIsolation() {
+		if t == nil || t.IsDone() || t.IsGivenUp() || !t.NeedsIsolation() {
 			delete(s.suspects.isolated, id)
 			continue
 		}
--- a/bwstandin/executors.go
+++ b/bwstandin/executors.go
@@ -48,7 +48,9 @@
 	failureRatio   float64
 	// deadly holds the tasks that crash the executor that starts them, with the number of
 	// crashes so far. onCrash is called after each crash.
-	deadly  map[bwjob.TaskID]int
+	deadly map[bwjob.TaskID]int
+	// stops counts the runs of each job that were ended by a stop order.
+	stops   map[string]int
 	onCrash func(bwexecutor.Registration)
 }
 
@@ -102,6 +104,7 @@
 		histories: make(map[bwjob.TaskID]*taskHistory),
 		specs:     make(map[string]*bwjob.Spec),
 		deadly:    make(map[bwjob.TaskID]int),
+		stops:     make(map[string]int),
 		onCrash:   func(bwexecutor.Registration) {},
 	}
 }
@@ -235,6 +238,29 @@
 	return n
 }
 
+// RunningTasks returns how many tasks of a job are running.
+func (es *Executors) RunningTasks(job string) int {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	n := 0
+	for id, e := range es.executors {
+		es.endDueRuns(id, e)
+		for task := range e.running {
+			if task.Job == job {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Stops returns how many runs of a job were ended by a stop order.
+func (es *Executors) Stops(job string) int {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	return es.stops[job]
+}
+
 func (es *Executors) history(id bwjob.TaskID) *taskHistory {
 	h := es.histories[id]
 	if h == nil {
@@ -267,6 +293,9 @@
 
 func (es *Executors) endRun(id string, e *executor, r *taskRun, kind bwjob.EndKind) {
 	e.lastEndNumber++
+	if kind == bwjob.EndStopped {
+		es.stops[r.task.Job]++
+	}
 	e.highestBarredRun[r.task] = max(e.highestBarredRun[r.task], r.number)
 	e.unacknowledgedEnds = append(e.unacknowledgedEnds, bwexecutor.NumberedEnd{Number: e.lastEndNumber, End: bwjob.End{Task: r.task, Run: r.number, Kind: kind}})
 	delete(es.history(r.task).runningOn, id)
