bwmaintenance: a host is ordered only on a cordon that was just renewed

An order to a host ends whatever runs there. It rested on the latest survey of the host's pool, whatever its age: a slow host list or a slow write of the list of ordered hosts came in between, a new owner of the pool knew nothing of the cordon, and a coordinator that was paused sent what it had decided before. Tasks that were started once the cordon had run out ended with the host, and no disruption budget was asked.

The coordinator now renews the cordon right before each order and sends it only if the owner confirms at once that the executor is empty.

TestHostsAreOrderedOnlyWhileCordoned fails on the code before: both hosts are ordered without a cordon if the host list or a write takes 3 s.

--- a/bwmaintenance/coordinator.go
+++ b/bwmaintenance/coordinator.go
@@ -27,6 +27,9 @@
 	cordonTTL = 2500 * time.Millisecond
 	// surveyTimeout is several times the latency between data centres.
 	surveyTimeout = 400 * time.Millisecond
+	// maxCordonAge is the age of a cordon, since it was asked for, up to which a host is ordered.
+	// What is left of cordonTTL covers the order.
+	maxCordonAge = 500 * time.Millisecond
 )
 
 // Hosts lists the platform's hosts and sends orders to them.
@@ -40,7 +43,7 @@
 type Pools interface {
 	Survey(ctx context.Context, pool string) (Survey, bool)
 	// Cordon stops the placement of new tasks on an executor for d and reports whether the
-	// executor is empty.
+	// executor is certain to be empty.
 	Cordon(ctx context.Context, pool, executor string, d time.Duration) bool
 }
 
@@ -263,10 +266,11 @@
 			known[i] = c.planner.describeSurvey(a.Host, orderedAt)
 			c.planner.RecordOrder(a, orderedAt)
 		}
+		source := c.planner.sourcePool(a.Host)
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			results[i], isEmpty[i] = c.execute(a)
+			results[i], isEmpty[i] = c.execute(a, source)
 		}()
 	}
 	wait.Wait()
@@ -321,19 +325,34 @@
 	go c.deps.OnLost(reason)
 }
 
-// execute executes one action. For a cordon it also reports whether the executor is empty.
-func (c *Coordinator) execute(a Action) (Result, bool) {
+// execute executes one action for a host of the source pool. For a cordon it also reports whether
+// the executor is empty.
+func (c *Coordinator) execute(a Action, source bwfleet.Pool) (Result, bool) {
 	switch a.Kind {
-	case Maintain:
-		return c.deps.Hosts.Maintain(c.ctx, a.Host, a.Wave, c.fence), false
-	case Move:
-		return c.deps.Hosts.Move(c.ctx, a.Host, a.Pool, c.fence), false
 	case Uncordon:
 		c.deps.Pools.Cordon(c.ctx, a.Pool, a.Executor, 0)
 		return Accepted, false
-	default:
+	case Cordon:
 		return Accepted, c.deps.Pools.Cordon(c.ctx, a.Pool, a.Executor, cordonTTL)
 	}
+	if !source.IsStandby && !c.renewCordon(source.Name, a.Executor) {
+		return NotEmpty, false
+	}
+	if a.Kind == Maintain {
+		return c.deps.Hosts.Maintain(c.ctx, a.Host, a.Wave, c.fence), false
+	}
+	return c.deps.Hosts.Move(c.ctx, a.Host, a.Pool, c.fence), false
+}
+
+// renewCordon renews the cordon of an executor and reports whether it is empty and stays so until
+// an order to its host takes effect. The survey behind the order may be older than its cordon: the
+// host list and the store may be slow, the pool may have a new owner, and this process may have
+// been paused.
+func (c *Coordinator) renewCordon(pool, executor string) bool {
+	askedAt := c.deps.Clock.Now()
+	ctx, cancel := context.WithTimeout(c.ctx, surveyTimeout)
+	defer cancel()
+	return c.deps.Pools.Cordon(ctx, pool, executor, cordonTTL) && c.deps.Clock.Now().Sub(askedAt) <= maxCordonAge
 }
 
 // storeProgress stores which hosts of a wave have started maintenance, and the state of the
--- a/bwmaintenance/coordinator_test.go
+++ b/bwmaintenance/coordinator_test.go
@@ -11,6 +11,7 @@
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwfleet"
+	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwmaintenance"
 	"basilwood.example/basilwood/bwstandin"
 	"github.com/hashicorp/go-hclog"
@@ -49,13 +50,13 @@
 
 // takeOver writes the key of the coordinator's role and returns a new coordinator that holds
 // it.
-func takeOver(t *testing.T, kv *bwstandin.KV, hosts bwmaintenance.Hosts, pools idlePools, maxUnavailable int, onLost func(string)) *bwmaintenance.Coordinator {
+func takeOver(t *testing.T, kv *bwstandin.KV, store bwmaintenance.Store, hosts bwmaintenance.Hosts, pools bwmaintenance.Pools, maxUnavailable int, onLost func(string)) *bwmaintenance.Coordinator {
 	t.Helper()
 	kv.Put(coordinatorKey, nil)
 	key, err := kv.Get(context.Background(), coordinatorKey)
 	assert.NilError(t, err)
 	return bwmaintenance.NewCoordinator(bwmaintenance.Deps{
-		Hosts: hosts, Pools: pools, Store: kv, Clock: bwclock.New(), Log: hclog.NewNullLogger(),
+		Hosts: hosts, Pools: pools, Store: store, Clock: bwclock.New(), Log: hclog.NewNullLogger(),
 		Waves: func() []bwfleet.Wave {
 			return []bwfleet.Wave{{Number: 1, Hosts: []string{"m-1", "m-2"}, TimeLimit: time.Minute, MaxUnavailable: maxUnavailable}}
 		},
@@ -75,7 +76,7 @@
 		lost := ""
 		kv := bwstandin.NewKV(1)
 		kv.Put("hosts/orders", []byte(`["m-1","m-2"]`))
-		c := takeOver(t, kv, hosts, idlePools{}, 1, func(reason string) { lost = reason })
+		c := takeOver(t, kv, kv, hosts, idlePools{}, 1, func(reason string) { lost = reason })
 		defer c.Stop(context.Background())
 		go c.Run(context.Background())
 		time.Sleep(2500 * time.Millisecond)
@@ -115,7 +116,7 @@
 		kv := bwstandin.NewKV(1)
 		kv.Put("hosts/orders", []byte(`["m-1"]`))
 		hosts := &acceptingHosts{kv: kv, orders: make(map[string]time.Time)}
-		c := takeOver(t, kv, hosts, idlePools{}, 2, func(string) {})
+		c := takeOver(t, kv, kv, hosts, idlePools{}, 2, func(string) {})
 		started := time.Now()
 		go c.Run(context.Background())
 		time.Sleep(10 * time.Second)
@@ -134,7 +135,7 @@
 		kv := bwstandin.NewKV(1)
 		hosts := &acceptingHosts{kv: kv, orders: make(map[string]time.Time)}
 		lost := ""
-		c := takeOver(t, kv, hosts, idlePools{}, 2, func(reason string) { lost = reason })
+		c := takeOver(t, kv, kv, hosts, idlePools{}, 2, func(reason string) { lost = reason })
 		defer c.Stop(context.Background())
 		kv.Put(coordinatorKey, nil)
 		go c.Run(context.Background())
@@ -158,7 +159,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := bwstandin.NewKV(1)
 		var cordons atomic.Int64
-		c := takeOver(t, kv, &busyHosts{}, idlePools{cordons: &cordons}, 1, func(string) {})
+		c := takeOver(t, kv, kv, &busyHosts{}, idlePools{cordons: &cordons}, 1, func(string) {})
 		defer c.Stop(context.Background())
 		kv.SetReplyLoss(1, 0)
 		go c.Run(context.Background())
@@ -168,3 +169,102 @@
 		assert.Equal(t, cordons.Load(), before)
 	})
 }
+
+// cordonedPools have no demand and empty executors. A cordon ends after the time for which it was
+// asked.
+type cordonedPools struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+	// cordonDelay is how long each answer to a cordon takes.
+	cordonDelay time.Duration
+}
+
+func newCordonedPools() *cordonedPools { return &cordonedPools{until: make(map[string]time.Time)} }
+
+func (p *cordonedPools) Survey(context.Context, string) (bwmaintenance.Survey, bool) {
+	s := bwmaintenance.Survey{Executors: make(map[string]bwmaintenance.ExecutorSurvey)}
+	for _, id := range []string{"i-1", "i-2"} {
+		s.Executors[id] = bwmaintenance.ExecutorSurvey{IsCordoned: p.isCordoned(id, 900*time.Millisecond)}
+	}
+	return s, true
+}
+
+func (p *cordonedPools) Cordon(_ context.Context, _, executor string, d time.Duration) bool {
+	p.mu.Lock()
+	p.until[executor] = time.Now().Add(d)
+	p.mu.Unlock()
+	time.Sleep(p.cordonDelay)
+	return true
+}
+
+// isCordoned reports whether the cordon of an executor lasts for longer than d.
+func (p *cordonedPools) isCordoned(executor string, d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Add(d).Before(p.until[executor])
+}
+
+// slowHosts list the hosts after a delay. They accept all orders and record the hosts that were not
+// cordoned when their order arrived.
+type slowHosts struct {
+	fencedHosts
+	pools     *cordonedPools
+	listDelay time.Duration
+	mu        sync.Mutex
+	arrived   int
+	uncovered []string
+}
+
+func (h *slowHosts) List(ctx context.Context) ([]bwfleet.Host, error) {
+	time.Sleep(h.listDelay)
+	return h.fencedHosts.List(ctx)
+}
+
+func (h *slowHosts) Maintain(_ context.Context, host string, _, _ int64) bwmaintenance.Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.arrived++
+	if !h.pools.isCordoned("i"+strings.TrimPrefix(host, "m"), 0) {
+		h.uncovered = append(h.uncovered, host)
+	}
+	return bwmaintenance.Accepted
+}
+
+// slowStore delays the result of each write.
+type slowStore struct {
+	*bwstandin.KV
+	delay time.Duration
+}
+
+func (s slowStore) Transact(ctx context.Context, t bwkv.Transaction) bwkv.Result {
+	time.Sleep(s.delay)
+	return s.KV.Transact(ctx, t)
+}
+
+// Guards against orders to hosts on which tasks may have been started since the cordon ran out.
+func TestHostsAreOrderedOnlyWhileCordoned(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		list, write, cordon time.Duration
+		isOrdered           bool
+	}{
+		{"slow host list", 3 * time.Second, 0, 0, true},
+		{"slow store", 0, 3 * time.Second, 0, true},
+		{"slow owner of the pool", 0, 0, 3 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pools := newCordonedPools()
+				pools.cordonDelay = c.cordon
+				hosts := &slowHosts{pools: pools, listDelay: c.list}
+				store := slowStore{bwstandin.NewKV(1), c.write}
+				coordinator := takeOver(t, store.KV, store, hosts, pools, 1, func(string) {})
+				go coordinator.Run(context.Background())
+				time.Sleep(40 * time.Second)
+				coordinator.Stop(context.Background())
+				assert.Equal(t, len(hosts.uncovered), 0, "orders without a cordon: %v", hosts.uncovered)
+				assert.Equal(t, hosts.arrived > 0, c.isOrdered)
+			})
+		})
+	}
+}
--- a/bwmaintenance/planner.go
+++ b/bwmaintenance/planner.go
@@ -430,6 +430,12 @@
 	return []any{"surveyAge", now.Sub(s.At).String(), "cordoned", e.IsCordoned, "runs", e.Runs, "longRunning", e.LongRunning}
 }
 
+// sourcePool returns the pool of a host.
+func (p *Planner) sourcePool(id string) bwfleet.Pool {
+	name := p.hosts[id].Pool
+	return bwfleet.Pool{Name: name, IsStandby: p.pools[name].IsStandby}
+}
+
 // drainBudgets returns how many more hosts of each pool may be drained. The remaining hosts
 // must carry the pool's load and accept its long-running tasks. A wave that is behind
 // schedule may drain one host of a busy pool at a time.
--- a/bwmaintenance/result.go
+++ b/bwmaintenance/result.go
@@ -20,9 +20,12 @@
 	// TooMany means that the platform accepts no further orders at present.
 	TooMany
 	Refused
+	// NotEmpty means that the order was not sent, because the host's executor was not certain to
+	// be empty.
+	NotEmpty
 )
 
 // String returns the result in camel case.
 func (r Result) String() string {
-	return [...]string{"unanswered", "accepted", "fenced", "busy", "tooMany", "refused"}[r]
+	return [...]string{"unanswered", "accepted", "fenced", "busy", "tooMany", "refused", "notEmpty"}[r]
 }
