bwschedule: an eviction that was lost is decided anew

A stop that an executor did not answer or refused was sent again as soon as a report listed the run ("run is not wanted"), with no look at the reason for the eviction. Until then the cordon may have ended, so that a working task was ended for nothing, or more tasks of the step may have become unavailable, so that the stop broke the disruption budget.

The run now counts as running again, and the next pass decides by the cordon and the budget as they are then. Stops of runs that are not wanted at all, and of gangs, are repeated as before.

TestLostStopIsNotRepeatedWithoutReason fails on the code before in all six cases (an unanswered, an unsent and a refused stop; the cordon has ended or the budget is used up).

--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -159,11 +159,26 @@
 		j.SaveCheckpoint(status.Task, status.Run, status.Checkpoint)
 		s.forgetCrashes(j, r, now)
 	}
+	if s.isEvictionLost(r) {
+		// Whether to evict the task is decided again.
+		r.Phase = bwexecutor.Running
+		s.log.Info("evicted task runs on", "job", r.Task.Job, "task", r.Task, "run", r.Number, "executor", e.ID())
+	}
 	if r.IsOrphaned || r.Phase == bwexecutor.Stopping {
 		s.stopRun(e, r, now, "run is not wanted")
 	}
 }
 
+// isEvictionLost reports whether the run is that of a long-running task whose eviction was refused
+// or got no answer.
+func (s *Scheduler) isEvictionLost(r *bwexecutor.Run) bool {
+	if r.IsOrphaned || r.Phase != bwexecutor.Stopping || r.StopOrderedAt != bwclock.Never || r.StopAcknowledgedAt != bwclock.Never {
+		return false
+	}
+	step, ok := s.stepOf(r.Task)
+	return ok && step.LongRunning && !step.Gang
+}
+
 // adoptRun records a run that this owner did not expect: a previous owner started it, or a
 // start order took effect after it had been given up. If the task does not need the run,
 // it is marked as orphaned so that it gets stopped.
--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -85,7 +85,7 @@
 	case Accepted:
 		r.StopAcknowledgedAt = now
 	case Unhealthy, NotSent, Unanswered:
-		// Lets the next report trigger another stop order at once.
+		// Lets another stop be ordered as soon as a report lists the run.
 		r.StopOrderedAt = bwclock.Never
 	}
 }
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -280,6 +280,61 @@
 	assert.Equal(t, len(stops), 1)
 }
 
+// Guards against a stop that is repeated although its reason has gone: the cordon has ended, or
+// another task of the step has become unavailable.
+func TestLostStopIsNotRepeatedWithoutReason(t *testing.T) {
+	for name, result := range map[string]bwschedule.Result{"unanswered": bwschedule.Unanswered, "notSent": bwschedule.NotSent, "unhealthy": bwschedule.Unhealthy} {
+		for _, isCordoned := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/cordoned=%t", name, isCordoned), func(t *testing.T) {
+				h := newHarness(t, 4)
+				lasting := newStep(3000, 2)
+				lasting.LongRunning, lasting.DisruptionBudget = true, 1
+				h.submit("lasting", lasting)
+				started := h.scheduleStarts()
+				assert.Equal(t, len(started), 2)
+				h.reportAll()
+				h.s.Cordon(started[0].Executor, h.now.Add(500*time.Millisecond))
+				stops := h.s.Schedule(h.now)
+				assert.Equal(t, len(stops), 1)
+				assert.Equal(t, stops[0].Kind, bwschedule.Stop)
+				h.s.HandleResult(stops[0], result, h.now)
+				if isCordoned {
+					h.s.Cordon(started[0].Executor, h.now.Add(time.Minute))
+					h.crash(started[1].Executor)
+				}
+				for range 5 {
+					h.advance(time.Second)
+					h.reportAll()
+					for _, o := range h.s.Schedule(h.now) {
+						assert.Equal(t, o.Kind, bwschedule.Start, "%+v", o)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A stop that was lost is repeated while there is a reason for it.
+func TestLostStopIsRepeatedWhileExecutorIsCordoned(t *testing.T) {
+	h := newHarness(t, 4)
+	lasting := newStep(3000, 2)
+	lasting.LongRunning, lasting.DisruptionBudget = true, 1
+	h.submit("lasting", lasting)
+	started := h.scheduleStarts()
+	h.s.Cordon(started[0].Executor, h.now.Add(time.Minute))
+	stops := 0
+	for range 5 {
+		h.reportAll()
+		for _, o := range h.s.Schedule(h.now) {
+			assert.Equal(t, o.Task, started[0].Task)
+			h.s.HandleResult(o, bwschedule.Unanswered, h.now)
+			stops++
+		}
+		h.advance(time.Second)
+	}
+	assert.Assert(t, stops >= 3, "%d stops", stops)
+}
+
 func TestSurveyOmitsUncertainState(t *testing.T) {
 	h := newHarness(t, 2)
 	h.s.Executor("e1").RecordMissedReport()
