bwschedule, bwowner: a new owner starts no long-running task while hosts may be ordered

The owner of a pool confirms that an executor is cordoned and empty, and the host coordinator then orders its host. An owner that takes over in between knows nothing of the cordon and may start tasks there, which the order ends without asking their disruption budget. The confirmation of a replaced owner is rejected, but not one that was given just before.

A new owner now defers starts of long-running tasks for 1.5 s, which covers the confirmation and the order. Other tasks start as before.

TestNewOwnerStartsNoLastingTaskOnHostThatIsAboutToBeOrdered fails on the code before: 1 (int) != 0 (int) tasks run there before the order can take effect.

--- a/bwnode/takeover_test.go
+++ b/bwnode/takeover_test.go
@@ -9,6 +9,7 @@
 
 	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
+	"basilwood.example/basilwood/bwmesh"
 	"basilwood.example/basilwood/bwowner"
 	"gotest.tools/v3/assert"
 )
@@ -16,6 +17,9 @@
 // recoveryTime is how long service may take to return after the loss of all nodes.
 const recoveryTime = 12 * time.Second
 
+// hostOrderTime is how long an order to a host may take after its executor was confirmed to be empty.
+const hostOrderTime = 1500 * time.Millisecond
+
 // submitTwoStepJob submits a job of two steps of one second each.
 func (c *cluster) submitTwoStepJob() {
 	step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: time.Second}
@@ -229,3 +233,28 @@
 	}
 	return owner
 }
+
+// Guards against a long-running task that a new owner starts on a host for which the previous owner
+// has just confirmed that it is empty.
+func TestNewOwnerStartsNoLastingTaskOnHostThatIsAboutToBeOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 2, 1)
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		reply, err := c.ownerOf("desk").node.Server().Cordon(t.Context(), &bwmesh.CordonRequest{Pool: "desk", Executor: "desk-0", ForMillis: 2500})
+		assert.NilError(t, err)
+		assert.Assert(t, reply.GetEmpty())
+		confirmed := time.Now()
+		c.killOwnerOf("desk")
+		spec := &bwjob.Spec{ID: "lasting", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, LongRunning: true}}}
+		c.executors.RegisterJob(spec)
+		for c.submit(c.queues[0], spec) != bwowner.OK {
+			time.Sleep(20 * time.Millisecond)
+			assert.Assert(t, time.Since(confirmed) < hostOrderTime)
+		}
+		time.Sleep(hostOrderTime - time.Since(confirmed))
+		assert.Equal(t, c.executors.Running(), 0)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, c.executors.Running(), 1)
+	})
+}
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -22,6 +22,9 @@
 	// stopMargin covers the transmission of a previous owner's last stop orders, retries
 	// included.
 	stopMargin = 1500 * time.Millisecond
+	// hostOrderTime covers the time from a previous owner's confirmation that an executor is empty
+	// until the order to its host takes effect.
+	hostOrderTime = 1500 * time.Millisecond
 	// listShrinkInterval is the minimum time before a write that only removes entries from the
 	// stored executor list.
 	listShrinkInterval = 500 * time.Millisecond
@@ -91,6 +94,7 @@
 	o.awaitExecutors(listed)
 	if len(listed) > 0 {
 		o.scheduler.DeferEvictions(now.Add(o.settings.MaxStopTime + stopMargin))
+		o.scheduler.DeferLongRunningStarts(now.Add(hostOrderTime))
 	}
 	o.isReady = true
 	o.syncExecutors()
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -67,14 +67,15 @@
 	return largest
 }
 
-// mayRunUnderPreviousOwner reports whether tasks of the job may still be running where a
-// previous owner started them.
-func (s *Scheduler) mayRunUnderPreviousOwner(j *bwjob.Job) bool {
-	return len(s.awaited) > 0 && s.loaded[j.ID()]
+// mustWaitAfterTakeover reports whether no task of the step may be started yet: tasks of the job
+// may still be running where a previous owner started them, or the step is long-running and orders
+// to empty hosts may be in flight.
+func (s *Scheduler) mustWaitAfterTakeover(j *bwjob.Job, step int, now bwclock.Time) bool {
+	return len(s.awaited) > 0 && s.loaded[j.ID()] || j.Spec().Steps[step].LongRunning && now.Before(s.startLongRunningAfter)
 }
 
 func (s *Scheduler) placeStep(j *bwjob.Job, o *bwjob.Occurrence, step int, candidates []*bwexecutor.Executor, now bwclock.Time) {
-	if s.mayRunUnderPreviousOwner(j) {
+	if s.mustWaitAfterTakeover(j, step, now) {
 		return
 	}
 	fits := s.maxFree.Fits(j.Spec().Steps[step].Reserved())
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -47,6 +47,9 @@
 	// evictAfter is the time before which no task is evicted, because a previous owner's stops
 	// may still be in flight.
 	evictAfter bwclock.Time
+	// startLongRunningAfter is the time before which no long-running task is started, because a
+	// host that a previous owner has found to be empty may be about to be moved or maintained.
+	startLongRunningAfter bwclock.Time
 	// isCapacityKnown is set while the registrations are recent enough to rely on the capacity of
 	// the executors.
 	isCapacityKnown bool
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -589,6 +589,23 @@
 	assert.Equal(t, len(h.s.Schedule(h.now)), 1)
 }
 
+// Guards against a long-running task that a new owner starts on a host that is about to be moved.
+func TestNewOwnerStartsNoLastingTaskWhileHostsMayBeOrdered(t *testing.T) {
+	h := newHarness(t, 2)
+	h.s.DeferLongRunningStarts(h.now.Add(time.Second))
+	lasting := newStep(1000, 1)
+	lasting.LongRunning = true
+	h.submit("lasting", lasting)
+	h.submit("short", newStep(1000, 1))
+	started := h.scheduleStarts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Task.Job, "short")
+	h.advance(time.Second)
+	started = h.scheduleStarts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Task.Job, "lasting")
+}
+
 // Guards against an owner that ends because an executor reports a task that its job does not have.
 func TestReportOfUnknownTaskIsHarmless(t *testing.T) {
 	for _, id := range []bwjob.TaskID{{Job: "j", Step: 7}, {Job: "j", Step: -1}, {Job: "j", Index: 9}, {Job: "j", Index: -1}, {Job: "j", Occurrence: 3}, {Job: "j", Occurrence: -1}} {
