bwnode, bwstandin: fleets of nodes keep lasting jobs available under faults

It now has a startup time, and records a violation if a stop, or an order to the host, ends a working long-running task while as many others of its step are unavailable as may be. Stops that are carried out late, draining executors and cancelled jobs are exempt.

--- a/bwnode/cluster_test.go
+++ b/bwnode/cluster_test.go
@@ -349,12 +349,17 @@
 	c.checkSettled(accepted)
 }
 
-// checkSettled ends the faults, waits, and checks that every accepted job has ended.
-func (c *cluster) checkSettled(accepted map[string]bwfleet.Queue) {
+// settle ends the faults and waits.
+func (c *cluster) settle() {
 	c.kv.SetUnavailable(false)
 	c.kv.SetReplyLoss(0, 0)
 	c.executors.SetLateOrderRatio(0)
 	time.Sleep(40 * time.Second)
+}
+
+// checkSettled ends the faults, waits, and checks that every accepted job has ended.
+func (c *cluster) checkSettled(accepted map[string]bwfleet.Queue) {
+	c.settle()
 	for id, q := range accepted {
 		reply := c.state(q, id)
 		if reply.Verdict != bwowner.OK || reply.State == bwowner.Queued || reply.State == bwowner.Running {
--- a/bwstandin/executors.go
+++ b/bwstandin/executors.go
@@ -26,6 +26,11 @@
 	// tasks by the earlier one: the time to its next heartbeat, and that within which its owner
 	// must take the entry into account.
 	capacityNotice = 1500*time.Millisecond + 3*time.Second
+	// longRunningStartup is the time from the start of a long-running task until it is at work.
+	longRunningStartup = 700 * time.Millisecond
+	// absenceTime is how long a long-running task may be absent until it counts as unavailable
+	// whatever the reason.
+	absenceTime = 4500 * time.Millisecond
 	// executorRestartTime is the time for which a restarted executor refuses connections.
 	executorRestartTime = 600 * time.Millisecond
 	maxOrderDelay       = 10 * time.Second
@@ -50,8 +55,10 @@
 	// crashes so far. onCrash is called after each crash.
 	deadly map[bwjob.TaskID]int
 	// stops counts the runs of each job that were ended by a stop order.
-	stops   map[string]int
-	onCrash func(bwexecutor.Registration)
+	stops map[string]int
+	// cancelled holds the jobs whose tasks may be stopped.
+	cancelled map[string]bool
+	onCrash   func(bwexecutor.Registration)
 }
 
 type executor struct {
@@ -81,6 +88,7 @@
 type taskRun struct {
 	task     bwjob.TaskID
 	number   int
+	atWorkAt time.Time
 	endAt    time.Time
 	endKind  bwjob.EndKind
 	reserved bwjob.Resources
@@ -93,6 +101,10 @@
 	// isDoneAcknowledged is set once a successful end has been acknowledged.
 	isDoneAcknowledged bool
 	failures           map[string]bool
+	// absentSince is when the latest run ended, and isStopped is set if a stop order ended it. Both
+	// apply until the task is at work again.
+	absentSince time.Time
+	isStopped   bool
 }
 
 // NewExecutors returns an Executors that holds no executors yet. Its random choices derive
@@ -105,6 +117,7 @@
 		specs:     make(map[string]*bwjob.Spec),
 		deadly:    make(map[bwjob.TaskID]int),
 		stops:     make(map[string]int),
+		cancelled: make(map[string]bool),
 		onCrash:   func(bwexecutor.Registration) {},
 	}
 }
@@ -196,17 +209,30 @@
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	old := es.executors[id]
-	for task := range old.running {
-		delete(es.history(task).runningOn, id)
+	for _, r := range old.running {
+		es.recordAbsence(id, r, r.endKind == bwjob.EndStopped)
 	}
 	r := old.registration
 	r.Incarnation++
+	r.IsDraining = false
 	e := newExecutor(r)
 	e.restartDoneAt = time.Now().Add(executorRestartTime)
 	es.executors[id] = e
 	return r
 }
 
+// Maintain ends an executor as an order to its host does, and records a violation if this makes more
+// long-running tasks unavailable than may be. It returns the registration of the new incarnation.
+func (es *Executors) Maintain(id string) bwexecutor.Registration {
+	es.mu.Lock()
+	for _, r := range es.executors[id].running {
+		es.checkAvailability(id, r)
+		r.endKind = bwjob.EndStopped
+	}
+	es.mu.Unlock()
+	return es.Restart(id)
+}
+
 // Registrations returns the registrations of all executors, sorted by id.
 func (es *Executors) Registrations() []bwexecutor.Registration {
 	es.mu.Lock()
@@ -264,7 +290,7 @@
 func (es *Executors) history(id bwjob.TaskID) *taskHistory {
 	h := es.histories[id]
 	if h == nil {
-		h = &taskHistory{runningOn: make(map[string]int), failures: make(map[string]bool)}
+		h = &taskHistory{runningOn: make(map[string]int), failures: make(map[string]bool), absentSince: time.Now()}
 		es.histories[id] = h
 	}
 	return h
@@ -298,7 +324,69 @@
 	}
 	e.highestBarredRun[r.task] = max(e.highestBarredRun[r.task], r.number)
 	e.unacknowledgedEnds = append(e.unacknowledgedEnds, bwexecutor.NumberedEnd{Number: e.lastEndNumber, End: bwjob.End{Task: r.task, Run: r.number, Kind: kind}})
-	delete(es.history(r.task).runningOn, id)
+	es.recordAbsence(id, r, kind == bwjob.EndStopped)
+}
+
+// recordAbsence records that a run has ended.
+func (es *Executors) recordAbsence(id string, r *taskRun, isStopped bool) {
+	h := es.history(r.task)
+	delete(h.runningOn, id)
+	if !time.Now().Before(r.atWorkAt) {
+		h.absentSince, h.isStopped = time.Now(), isStopped
+	}
+	h.isStopped = h.isStopped || isStopped
+}
+
+// checkAvailability records a violation if a stop order ends a long-running task that is at work
+// while as many others of its step are unavailable as may be.
+func (es *Executors) checkAvailability(id string, r *taskRun) {
+	spec := es.specs[r.task.Job]
+	if spec == nil || es.cancelled[r.task.Job] || time.Now().Before(r.atWorkAt) || !r.endAt.After(time.Now().Add(runStopTime)) {
+		return
+	}
+	step := spec.Steps[r.task.Step]
+	if !step.LongRunning || es.executors[id].registration.IsDraining {
+		return
+	}
+	unavailable := 0
+	for i := range step.Count {
+		other := r.task
+		other.Index = i
+		if i != r.task.Index && es.isUnavailable(other) {
+			unavailable++
+		}
+	}
+	if unavailable >= max(1, step.DisruptionBudget) {
+		es.recordViolation("task %v run %d on %s is stopped while %d others of its step are unavailable, of which %d may be",
+			r.task, r.number, id, unavailable, step.DisruptionBudget)
+	}
+}
+
+func (es *Executors) isUnavailable(task bwjob.TaskID) bool {
+	h := es.history(task)
+	for id := range h.runningOn {
+		e := es.executors[id]
+		es.endDueRuns(id, e)
+		if r := e.running[task]; r != nil && !time.Now().Before(r.atWorkAt) {
+			return r.endKind == bwjob.EndStopped
+		}
+	}
+	return h.isStopped || time.Since(h.absentSince) >= absenceTime
+}
+
+// Cancel records that a job is about to be cancelled, so that its tasks may be stopped.
+func (es *Executors) Cancel(job string) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	es.cancelled[job] = true
+}
+
+// SetDraining announces that an executor is about to end. It returns the new registration.
+func (es *Executors) SetDraining(id string) bwexecutor.Registration {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	es.executors[id].registration.IsDraining = true
+	return es.executors[id].registration
 }
 
 // connect simulates the latency of a call and returns the executor. If the executor refuses
@@ -358,7 +446,11 @@
 	es.acknowledgeEnds(e, renewal.AckedUpTo)
 	report := bwexecutor.Report{Incarnation: e.registration.Incarnation, Ended: append([]bwexecutor.NumberedEnd(nil), e.unacknowledgedEnds...)}
 	for _, r := range e.running {
-		report.Running = append(report.Running, bwexecutor.RunStatus{Task: r.task, Run: r.number, Percent: 100})
+		status := bwexecutor.RunStatus{Task: r.task, Run: r.number, Percent: 100}
+		if time.Now().Before(r.atWorkAt) {
+			status.Percent = 0
+		}
+		report.Running = append(report.Running, status)
 	}
 	return bwowner.ExecutorReply{Result: bwschedule.Accepted, Clock: e.clock(), Report: report}, len(e.unacknowledgedEnds) > 0
 }
@@ -396,13 +488,13 @@
 		time.AfterFunc(delay, func() {
 			es.mu.Lock()
 			defer es.mu.Unlock()
-			es.execute(target.ID, e, o, fence, until)
+			es.execute(target.ID, e, o, fence, until, true)
 		})
 		<-ctx.Done()
 		return bwowner.ExecutorReply{Result: bwschedule.Unanswered}
 	}
 	es.mu.Lock()
-	reply := bwowner.ExecutorReply{Result: es.execute(target.ID, e, o, fence, until), Clock: e.clock()}
+	reply := bwowner.ExecutorReply{Result: es.execute(target.ID, e, o, fence, until, false), Clock: e.clock()}
 	isLost := es.replyLossRatio > 0 && es.random.Float64() < es.replyLossRatio
 	es.mu.Unlock()
 	if isLost {
@@ -412,7 +504,7 @@
 	return reply
 }
 
-func (es *Executors) execute(id string, e *executor, o bwschedule.Order, fence, until int64) bwschedule.Result {
+func (es *Executors) execute(id string, e *executor, o bwschedule.Order, fence, until int64, isLate bool) bwschedule.Result {
 	if es.executors[id] != e {
 		return bwschedule.OtherIncarnation
 	}
@@ -427,6 +519,9 @@
 	case bwschedule.Stop:
 		e.highestBarredRun[o.Task] = max(e.highestBarredRun[o.Task], o.Run)
 		if r := e.running[o.Task]; r != nil && r.number <= o.Run {
+			if !isLate {
+				es.checkAvailability(id, r)
+			}
 			r.endAt, r.endKind = time.Now().Add(runStopTime), bwjob.EndStopped
 		}
 	}
@@ -468,7 +563,7 @@
 	h.runningOn[id] = o.Run
 	r := &taskRun{task: o.Task, number: o.Run, endAt: time.Now().Add(step.Estimate), endKind: bwjob.EndDone, reserved: step.Reserved()}
 	if step.LongRunning {
-		r.endAt = time.Now().Add(24 * time.Hour)
+		r.endAt, r.atWorkAt = time.Now().Add(24*time.Hour), time.Now().Add(longRunningStartup)
 	} else if es.random.Float64() < es.failureRatio {
 		r.endKind = bwjob.EndFailed
 	}
