bwjob, bwschedule: a long-running task is given up only after early crashes in a row

Only early crashes count now, four in a row with no run in between that has worked, which is the limit for short tasks that are never alone.

--- a/bwjob/crash.go
+++ b/bwjob/crash.go
@@ -7,8 +7,8 @@
 // run alone before its job fails.
 //
 // A job with long-running tasks goes on without the one that is given up, so it fails only if none
-// is left. Executors crash for other reasons too while a long-running task works, so only crashes
-// in a row count against it, before it has worked.
+// is left. Executors crash for other reasons too while a long-running task works, so only early
+// crashes in a row count against it, with no run in between that has worked.
 const (
 	// isolationEarlyCrashes is the number of early crashes, and isolationCrashes that of all
 	// crashes, from which a task must run alone.
@@ -18,9 +18,9 @@
 	// and hit the task alone, or else failureAloneCrashes of them must have hit it alone.
 	failureCrashes      = 3
 	failureAloneCrashes = 2
-	// maxEarlyCrashes is the number of early crashes that fails a job in any case. It is the
-	// number of all crashes for a gang, whose members cannot run alone, and for a long-running
-	// task.
+	// maxEarlyCrashes is the number of early crashes that fails a job in any case, and the only
+	// limit for a long-running task. It is the number of all crashes for a gang, whose members
+	// cannot run alone.
 	maxEarlyCrashes = 4
 )
 
@@ -127,14 +127,13 @@
 // isLikelyCause reports whether a task of the step is the likely cause of its crashes, the latest
 // of which is c. The latest one does not matter for a long-running task.
 func (t *Task) isLikelyCause(c Crash, step Step) bool {
-	crashes := len(t.crashedRuns)
-	switch {
+	switch crashes := len(t.crashedRuns); {
 	case t.earlyCrashes >= maxEarlyCrashes:
 		return true
-	case (step.Gang || step.LongRunning) && crashes >= maxEarlyCrashes:
-		return true
 	case step.LongRunning:
-		return crashes >= failureCrashes && t.aloneCrashes > 0
+		return false
+	case step.Gang && crashes >= maxEarlyCrashes:
+		return true
 	default:
 		return crashes >= failureCrashes && (c.IsAlone && c.IsEarly || t.aloneCrashes >= failureAloneCrashes)
 	}
--- a/bwschedule/suspect.go
+++ b/bwschedule/suspect.go
@@ -70,9 +70,8 @@
 func (s *Scheduler) resolveProbations(executor string, incarnation int64, now bwclock.Time) {
 	for _, p := range s.suspects.probations[executor] {
 		if p.Incarnation != incarnation {
-			// When the executor crashed is not known. Short tasks end soon after their start.
-			step, _ := s.stepOf(p.task)
-			s.recordCrash(p.task, bwjob.Crash{Run: p.Run, IsAlone: p.IsAlone, IsEarly: !step.LongRunning}, executor, now)
+			// When the executor crashed is not known. Most tasks that crash it do so soon after their start.
+			s.recordCrash(p.task, bwjob.Crash{Run: p.Run, IsAlone: p.IsAlone, IsEarly: true}, executor, now)
 		}
 	}
 	delete(s.suspects.probations, executor)
