bwmaintenance, bwschedule: withheld orders and draining executors are named in the logs

An order to a host that was not sent was logged as "host ordered" with the result notEmpty. No decision changes.

--- a/bwmaintenance/coordinator.go
+++ b/bwmaintenance/coordinator.go
@@ -255,7 +255,7 @@
 	}
 	results := make([]Result, len(actions))
 	isEmpty := make([]bool, len(actions))
-	known := make([][]any, len(actions))
+	surveyed := make([][]any, len(actions))
 	orderedAt := c.deps.Clock.Now()
 	var wait sync.WaitGroup
 	for i, a := range actions {
@@ -263,7 +263,7 @@
 			continue
 		}
 		if a.Kind == Maintain || a.Kind == Move {
-			known[i] = c.planner.describeSurvey(a.Host, orderedAt)
+			surveyed[i] = c.planner.describeSurvey(a.Host, orderedAt)
 			c.planner.RecordOrder(a, orderedAt)
 		}
 		source := c.planner.sourcePool(a.Host)
@@ -279,8 +279,12 @@
 	for i, a := range actions {
 		switch a.Kind {
 		case Maintain, Move:
-			c.log.Info("host ordered", append([]any{"host", a.Host, "pool", a.Pool, "wave", a.Wave, "reason", a.Reason,
-				"executor", a.Executor, "result", results[i].String(), "took", c.deps.Clock.Now().Sub(orderedAt).String()}, known[i]...)...)
+			message := "host ordered"
+			if results[i] == NotEmpty {
+				message = "order to host withheld"
+			}
+			c.log.Info(message, append([]any{"host", a.Host, "pool", a.Pool, "wave", a.Wave, "reason", a.Reason,
+				"executor", a.Executor, "result", results[i].String(), "took", c.deps.Clock.Now().Sub(orderedAt).String()}, surveyed[i]...)...)
 			if results[i] == Unanswered {
 				c.extendRetention(a.Host)
 			}
--- a/bwschedule/evict.go
+++ b/bwschedule/evict.go
@@ -27,10 +27,6 @@
 // may still be in flight, and reports do not show that a task is being stopped.
 func (s *Scheduler) DeferEvictions(t bwclock.Time) { s.evictAfter = t }
 
-// DeferLongRunningStarts defers all starts of long-running tasks until the given time. Orders to
-// hosts that a previous owner has confirmed to be empty may still be in flight.
-func (s *Scheduler) DeferLongRunningStarts(t bwclock.Time) { s.startLongRunningAfter = t }
-
 // evict stops the long-running tasks of cordoned or draining executors, as far as the
 // disruption budgets of their steps allow. The tasks are then placed on other executors.
 func (s *Scheduler) evict(now bwclock.Time) {
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -67,6 +67,10 @@
 	return largest
 }
 
+// DeferLongRunningStarts defers all starts of long-running tasks until the given time. Orders to
+// hosts that a previous owner has confirmed to be empty may still be in flight.
+func (s *Scheduler) DeferLongRunningStarts(t bwclock.Time) { s.startLongRunningAfter = t }
+
 // mustWaitAfterTakeover reports whether no task of the step may be started yet: tasks of the job
 // may still be running where a previous owner started them, or the step is long-running and orders
 // to empty hosts may be in flight.
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -230,7 +230,8 @@
 	}
 	s.executors[r.ID] = bwexecutor.New(r)
 	s.sortedIDs = nil
-	s.log.Info("executor joined", "executor", r.ID, "address", r.Address, "incarnation", r.Incarnation, "rack", r.Rack)
+	s.log.Info("executor joined", "executor", r.ID, "address", r.Address, "incarnation", r.Incarnation, "rack", r.Rack,
+		"draining", r.IsDraining)
 }
 
 // SetCapacityKnown sets whether the registrations are recent enough to rely on the capacity of the
