--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -589,6 +589,26 @@
 	assert.Equal(t, len(h.s.Schedule(h.now)), 1)
 }
 
+// Guards against a job that is shown as started although no executor has confirmed a start.
+func TestJobIsPendingUntilAStartIsConfirmed(t *testing.T) {
+	for name, result := range map[string]bwschedule.Result{"refused": bwschedule.Unhealthy, "unsent": bwschedule.NotSent, "unanswered": bwschedule.Unanswered} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.submit("j", newStep(1000, 1))
+			orders := h.s.Schedule(h.now)
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, h.s.CountPendingJobs("q"), 1)
+			h.s.HandleResult(orders[0], result, h.now)
+			assert.Equal(t, h.s.CountPendingJobs("q"), 1)
+			h.advance(2 * time.Second)
+			h.report("e0", bwexecutor.Report{Incarnation: 1, Running: []bwexecutor.RunStatus{{Task: orders[0].Task, Run: orders[0].Run}}})
+			assert.Equal(t, h.s.CountPendingJobs("q"), 0)
+			h.crash("e0")
+			assert.Equal(t, h.s.CountPendingJobs("q"), 0)
+		})
+	}
+}
+
 // Guards against a long-running task that a new owner starts on a host that is about to be moved.
 func TestNewOwnerStartsNoLastingTaskWhileHostsMayBeOrdered(t *testing.T) {
 	h := newHarness(t, 2)
