bwschedule: an empty executor is known while others are awaited

Since each order to a host needs a renewed cordon, hosts of a pool were neither moved nor maintained after a change of its owner: the owner confirmed no executor as empty as long as any executor of the previous owner had not reported, up to 9 s for hosts that had just been moved away. Orders that rested on a survey had not waited for that.

An executor with a complete report to this owner is certain to be empty whatever the others do: it refuses the orders of previous owners since.

TestEmptyExecutorIsKnownWhileOthersAreAwaited fails on the code before.

--- a/bwschedule/evict.go
+++ b/bwschedule/evict.go
@@ -13,14 +13,15 @@
 const cordonMargin = 900 * time.Millisecond
 
 // Cordon stops the placement of new tasks on an executor until the given time and evicts
-// its long-running tasks. It reports whether the executor is certain to run nothing.
+// its long-running tasks. It reports whether the executor is certain to run nothing: its report to
+// this owner is complete, and it refuses orders of previous owners since then.
 func (s *Scheduler) Cordon(id string, until bwclock.Time) bool {
 	e := s.executors[id]
 	if e == nil {
 		return false
 	}
 	e.Cordon(until)
-	return e.HasCurrentReport() && len(e.Runs()) == 0 && len(s.awaited) == 0
+	return e.HasCurrentReport() && len(e.Runs()) == 0 && !s.IsAwaited(id)
 }
 
 // DeferEvictions defers all evictions until the given time. Stops that a previous owner ordered
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -335,6 +335,17 @@
 	assert.Assert(t, stops >= 3, "%d stops", stops)
 }
 
+// Guards against hosts that are not moved or maintained after a change of owner, because another
+// executor has not reported yet.
+func TestEmptyExecutorIsKnownWhileOthersAreAwaited(t *testing.T) {
+	h := newHarness(t, 2)
+	h.s.AwaitExecutor("e1", h.now.Add(time.Minute))
+	assert.Equal(t, h.s.Cordon("e0", h.now.Add(time.Minute)), true)
+	assert.Equal(t, h.s.Cordon("e1", h.now.Add(time.Minute)), false)
+	h.report("e1", bwexecutor.Report{Incarnation: 1})
+	assert.Equal(t, h.s.Cordon("e1", h.now.Add(time.Minute)), true)
+}
+
 func TestSurveyOmitsUncertainState(t *testing.T) {
 	h := newHarness(t, 2)
 	h.s.Executor("e1").RecordMissedReport()
