--- a/bwstandin/executors.go
+++ b/bwstandin/executors.go
@@ -26,11 +26,6 @@
 	// tasks by the earlier one: the time to its next heartbeat, and that within which its owner
 	// must take the entry into account.
 	capacityNotice = 1500*time.Millisecond + 3*time.Second
-	// longRunningStartup is the time from the start of a long-running task until it is at work.
-	longRunningStartup = 700 * time.Millisecond
-	// absenceTime is how long a long-running task may be absent until it counts as unavailable
-	// whatever the reason.
-	absenceTime = 4500 * time.Millisecond
 	// executorRestartTime is the time for which a restarted executor refuses connections.
 	executorRestartTime = 600 * time.Millisecond
 	maxOrderDelay       = 10 * time.Second
@@ -55,10 +50,8 @@
 	// crashes so far. onCrash is called after each crash.
 	deadly map[bwjob.TaskID]int
 	// stops counts the runs of each job that were ended by a stop order.
-	stops map[string]int
-	// cancelled holds the jobs whose tasks may be stopped.
-	cancelled map[string]bool
-	onCrash   func(bwexecutor.Registration)
+	stops   map[string]int
+	onCrash func(bwexecutor.Registration)
 }
 
 type executor struct {
@@ -117,7 +110,6 @@
 		specs:     make(map[string]*bwjob.Spec),
 		deadly:    make(map[bwjob.TaskID]int),
 		stops:     make(map[string]int),
-		cancelled: make(map[string]bool),
 		onCrash:   func(bwexecutor.Registration) {},
 	}
 }
@@ -214,25 +206,12 @@
 	}
 	r := old.registration
 	r.Incarnation++
-	r.IsDraining = false
 	e := newExecutor(r)
 	e.restartDoneAt = time.Now().Add(executorRestartTime)
 	es.executors[id] = e
 	return r
 }
 
-// Maintain ends an executor as an order to its host does, and records a violation if this makes more
-// long-running tasks unavailable than may be. It returns the registration of the new incarnation.
-func (es *Executors) Maintain(id string) bwexecutor.Registration {
-	es.mu.Lock()
-	for _, r := range es.executors[id].running {
-		es.checkAvailability(id, r)
-		r.endKind = bwjob.EndStopped
-	}
-	es.mu.Unlock()
-	return es.Restart(id)
-}
-
 // Registrations returns the registrations of all executors, sorted by id.
 func (es *Executors) Registrations() []bwexecutor.Registration {
 	es.mu.Lock()
@@ -264,29 +243,6 @@
 	return n
 }
 
-// RunningTasks returns how many tasks of a job are running.
-func (es *Executors) RunningTasks(job string) int {
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	n := 0
-	for id, e := range es.executors {
-		es.endDueRuns(id, e)
-		for task := range e.running {
-			if task.Job == job {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// Stops returns how many runs of a job were ended by a stop order.
-func (es *Executors) Stops(job string) int {
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	return es.stops[job]
-}
-
 func (es *Executors) history(id bwjob.TaskID) *taskHistory {
 	h := es.histories[id]
 	if h == nil {
@@ -327,68 +283,6 @@
 	es.recordAbsence(id, r, kind == bwjob.EndStopped)
 }
 
-// recordAbsence records that a run has ended.
-func (es *Executors) recordAbsence(id string, r *taskRun, isStopped bool) {
-	h := es.history(r.task)
-	delete(h.runningOn, id)
-	if !time.Now().Before(r.atWorkAt) {
-		h.absentSince, h.isStopped = time.Now(), isStopped
-	}
-	h.isStopped = h.isStopped || isStopped
-}
-
-// checkAvailability records a violation if a stop order ends a long-running task that is at work
-// while as many others of its step are unavailable as may be.
-func (es *Executors) checkAvailability(id string, r *taskRun) {
-	spec := es.specs[r.task.Job]
-	if spec == nil || es.cancelled[r.task.Job] || time.Now().Before(r.atWorkAt) || !r.endAt.After(time.Now().Add(runStopTime)) {
-		return
-	}
-	step := spec.Steps[r.task.Step]
-	if !step.LongRunning || es.executors[id].registration.IsDraining {
-		return
-	}
-	unavailable := 0
-	for i := range step.Count {
-		other := r.task
-		other.Index = i
-		if i != r.task.Index && es.isUnavailable(other) {
-			unavailable++
-		}
-	}
-	if unavailable >= max(1, step.DisruptionBudget) {
-		es.recordViolation("task %v run %d on %s is stopped while %d others of its step are unavailable, of which %d may be",
-			r.task, r.number, id, unavailable, step.DisruptionBudget)
-	}
-}
-
-func (es *Executors) isUnavailable(task bwjob.TaskID) bool {
-	h := es.history(task)
-	for id := range h.runningOn {
-		e := es.executors[id]
-		es.endDueRuns(id, e)
-		if r := e.running[task]; r != nil && !time.Now().Before(r.atWorkAt) {
-			return r.endKind == bwjob.EndStopped
-		}
-	}
-	return h.isStopped || time.Since(h.absentSince) >= absenceTime
-}
-
-// Cancel records that a job is about to be cancelled, so that its tasks may be stopped.
-func (es *Executors) Cancel(job string) {
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	es.cancelled[job] = true
-}
-
-// SetDraining announces that an executor is about to end. It returns the new registration.
-func (es *Executors) SetDraining(id string) bwexecutor.Registration {
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	es.executors[id].registration.IsDraining = true
-	return es.executors[id].registration
-}
-
 // connect simulates the latency of a call and returns the executor. If the executor refuses
 // connections or is unreachable, it returns false and the result of the call; for an
 // unreachable executor only once ctx is done.
