--- a/bwnode/lasting_test.go
+++ b/bwnode/lasting_test.go
@@ -29,7 +29,7 @@
 }
 
 // drain asks the owner of the pool to empty an executor, as the host coordinator does, for the given
-// time or until it is empty. The host is then restarted, unless the owner has changed.
+// time or until it is empty. The host of an empty executor is then restarted.
 func (c *cluster) drain(executor string, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(150 * time.Millisecond) {
 		owner := c.ownerOf("desk")
