bwschedule: stops of a draining executor do not overtake evictions within the budget

Callers saw more tasks of a lasting service away at once than allowed (AVAIL). In one pass an owner evicted a task from a cordoned executor within the disruption budget of its step, and then others of the step from a draining executor, for which the budget does not count. The orders go to their executors side by side; where the draining executor was faster, the first stop ended a task while as many others were away as may be, or more.

--- a/bwschedule/evict_test.go
+++ b/bwschedule/evict_test.go
@@ -160,3 +160,41 @@
 	assert.Equal(t, len(started), 1)
 	assert.Equal(t, started[0].Task.Job, "lasting")
 }
+
+// Guards against a stop within the disruption budget that arrives after the stops of a draining
+// executor, which are not limited by the budget.
+func TestDrainingExecutorDoesNotOvertakeEvictionsWithinBudget(t *testing.T) {
+	for _, isCordonedBefore := range []bool{false, true} {
+		h := newHarness(t, 6)
+		lasting := newStep(3000, 4)
+		lasting.LongRunning, lasting.DisruptionBudget = true, 1
+		h.submit("lasting", lasting)
+		assert.Equal(t, len(h.scheduleStarts()), 4)
+		h.reportAll()
+		evict := func() []string {
+			var list []string
+			for _, o := range h.s.Schedule(h.now) {
+				assert.Equal(t, o.Kind, bwschedule.Stop)
+				list = append(list, o.Executor)
+			}
+			return list
+		}
+		h.s.Cordon("e0", h.now.Add(time.Minute))
+		if isCordonedBefore {
+			assert.DeepEqual(t, evict(), []string{"e0"})
+		}
+		r := h.s.Executor("e1").Registration()
+		r.IsDraining = true
+		h.s.Register(r)
+		if !isCordonedBefore {
+			assert.DeepEqual(t, evict(), []string{"e1"})
+			continue
+		}
+		assert.Equal(t, len(evict()), 0)
+		stopped := h.s.Executor("e0").Runs()
+		for task, run := range stopped {
+			h.s.HandleResult(bwschedule.Order{Kind: bwschedule.Stop, Executor: "e0", Task: task, Run: run.Number}, bwschedule.Accepted, h.now)
+		}
+		assert.DeepEqual(t, evict(), []string{"e1"})
+	}
+}
