review: ports of the stand-ins do not meet those of other runs

Cause: a case beside others could not start a node, because its port was taken. Change: ports below the ephemeral range, from another place in each process.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -55,35 +55,53 @@
 	os.Exit(NotRun)
 }
 
-// FreeAddress returns a loopback address with a free port.
-func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Ports are taken from below the usual range of ephemeral ports, from which outgoing connections
+// would take them before the processes listen on them. Each process of a case begins at ports of
+// its own, so that cases that run at the same time do not meet.
+const (
+	firstPort    = 15000
+	portCount    = 15000
+	portsPerCase = 100
+)
+
+// hasPort reports whether a process can listen on a port now.
+func hasPort(port int) bool {
+	l, err := net.Listen("tcp", loopback(port))
 	if err != nil {
-		Fail("no free port: %v", err)
+		return false
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return l.Close() == nil
 }
 
-// freePortPair returns two adjacent free ports.
-func freePortPair() (int, int) {
-	for range 100 {
-		var port int
-		_, text, _ := net.SplitHostPort(FreeAddress())
-		if _, err := fmt.Sscan(text, &port); err != nil {
-			continue
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+var (
+	portMutex sync.Mutex
+	nextPort  = os.Getpid() * portsPerCase % portCount
+)
+
+// freePorts returns the first of a number of adjacent free ports.
+func freePorts(count int) int {
+	portMutex.Lock()
+	defer portMutex.Unlock()
+	for range portCount {
+		first, isFree := firstPort+nextPort, true
+		for p := first; p < first+count; p++ {
+			isFree = isFree && hasPort(p)
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		if err != nil {
-			continue
+		if isFree {
+			nextPort = (nextPort + count) % portCount
+			return first
 		}
-		_ = l.Close()
-		return port, port + 1
+		nextPort = (nextPort + 1) % portCount
 	}
-	Fail("no two adjacent free ports")
-	return 0, 0
+	Fail("no free ports")
+	return 0
 }
 
+// FreeAddress returns a loopback address with a free port.
+func FreeAddress() string { return loopback(freePorts(1)) }
+
 // Log is the record of a case.
 type Log struct {
 	mu   sync.Mutex
@@ -125,14 +143,13 @@
 
 // Node is one process of basilwood-node.
 type Node struct {
-	Name      string
-	Front     string
-	ready     string
-	settings  string
-	logFile   string
-	command   *exec.Cmd
-	exited    chan struct{}
-	stoppedAt time.Time
+	Name     string
+	Front    string
+	ready    string
+	settings string
+	logFile  string
+	command  *exec.Cmd
+	exited   chan struct{}
 }
 
 // Rig is a small deployment.
@@ -251,11 +268,11 @@
 	serve(cloudAddress, r.Cloud)
 	serve(adviceAddress, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusTooManyRequests, struct{}{}) }))
 	for i := range count {
-		low, high := freePortPair()
+		low := freePorts(2)
 		n := &Node{Name: fmt.Sprintf("front-%d", i+1), Front: FreeAddress(), ready: FreeAddress()}
 		n.settings = filepath.Join(r.folder, n.Name+".conf")
 		n.logFile = filepath.Join(r.folder, n.Name+".log")
-		text := strings.NewReplacer("NODE", n.Name, "FRONT", n.Front, "READY", n.ready, "LOW", fmt.Sprint(low), "HIGH", fmt.Sprint(high),
+		text := strings.NewReplacer("NODE", n.Name, "FRONT", n.Front, "READY", n.ready, "LOW", fmt.Sprint(low), "HIGH", fmt.Sprint(low+1),
 			"STORE", storeAddress, "CLOUD", cloudAddress, "ADVICE", adviceAddress).Replace(settingsTemplate)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			Fail("settings: %v", err)
