review: the stand-ins excuse ends after which the lease lapsed

Cause: the rule TWICE excuses an end if the lease lapsed before it was acknowledged; the check did not. A case ended by a signal left its nodes.

--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -37,9 +37,12 @@
 	// EndedAt and How are set when the run has ended. A run that a crash ended has How "crash".
 	EndedAt time.Time
 	How     string
-	// Acked is set when acked_upto has reached the end.
+	// Acked is set when acked_upto has reached the end, unless the executor's lease has lapsed
+	// between the two.
 	Acked bool
-	work  Work
+	// lapsed is set when the lease has lapsed after the end.
+	lapsed bool
+	work   Work
 	// stopAt is when an ordered stop takes effect.
 	stopAt time.Time
 	end    int64
@@ -182,6 +185,11 @@
 			return
 		}
 		now := time.Now()
+		if e.clock() > e.until {
+			for _, r := range e.ends {
+				r.lapsed = true
+			}
+		}
 		for _, r := range e.running {
 			switch {
 			case e.clock() > e.until:
@@ -318,7 +326,7 @@
 	kept := e.ends[:0:0]
 	for _, run := range e.ends {
 		if run.end <= b.AckedUpto {
-			run.Acked = true
+			run.Acked = !run.lapsed
 		} else {
 			kept = append(kept, run)
 		}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -180,6 +181,9 @@
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	r.Cloud = &Cloud{rig: r, changing: make(map[string]string)}
 	runningRig = r
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { Fail("ended by signal %s", <-signals) }()
 	time.AfterFunc(maxDuration, func() { Fail("takes longer than %s", maxDuration) })
 	return r
 }
