bwschedule: the log tells why a reported run is orphaned

Two hypotheses: 1. The new owner takes the current run for an old one, because it compares its number with what it has restored from the record (probation, ended and crashed runs). 2. The new owner takes the executor of the run for restarted: the stored probation names an earlier incarnation, the run is recorded as crashed and its task is released. The line "executor reported an orphaned run" did not tell them apart. Change: it names the highest restored run number, the failures, the crashes, the stored probation and the executor that the task is assigned to. Hypothesis 1 predicts run = highestRun = probation with failures > 0 and no new crash; hypothesis 2 predicts a line "executor crashed during a run" of the new owner before it.

--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -197,7 +197,7 @@
 	}
 	if t == nil || t.IsDone() || t.Executor() != "" || status.Run <= t.Run() && t.Failures() > 0 {
 		r.IsOrphaned = true
-		s.log.Warn("executor reported an orphaned run", "job", status.Task.Job, "task", status.Task, "run", status.Run, "executor", e.ID())
+		s.logOrphanedRun(e, status, t)
 	} else {
 		j.Assign(status.Task, e.ID(), status.Run)
 		s.log.Info("run adopted", "job", status.Task.Job, "task", status.Task, "run", status.Run, "executor", e.ID())
@@ -206,6 +206,18 @@
 	return r
 }
 
+// logOrphanedRun logs a run that is not adopted, with the state of its task, which is nil if the
+// job has ended or has no such task.
+func (s *Scheduler) logOrphanedRun(e *bwexecutor.Executor, status bwexecutor.RunStatus, t *bwjob.Task) {
+	fields := []any{"job", status.Task.Job, "task", status.Task, "run", status.Run, "executor", e.ID(), "known", t != nil}
+	if t != nil {
+		p, _ := t.Probation()
+		fields = append(fields, "done", t.IsDone(), "assignedTo", t.Executor(), "highestRun", t.Run(), "failures", t.Failures(),
+			"crashes", t.Crashes(), "probation", p.Run, "probationExecutor", p.Executor)
+	}
+	s.log.Warn("executor reported an orphaned run", fields...)
+}
+
 // reconcileUnlisted handles runs that the report does not list. It releases those that are
 // certain not to run, and stops those whose state is indeterminate.
 func (s *Scheduler) reconcileUnlisted(e *bwexecutor.Executor, listed map[bwjob.TaskID]bool, sentAt, now bwclock.Time) {
