bwschedule: a new owner adopts the current run of a suspect task

Cause: a new owner restores the highest run number of a task from its record, which includes the run of a suspect task that works now (its probation). adoptRun took a reported run whose number is no higher than that, of a task with failures, for an old one. The run was orphaned and its task stayed waiting, so Schedule started it again at once. A start on the executor of the orphaned run replaced that run's record, and its refusal dropped the reservation.

Five starts were refused as runTooOld, run 169 started elsewhere 53 ms after the stop was ordered; run 3 ended 0.35 s later.

Change: a reported run is adopted if its task is not done and not assigned to another executor, whatever its number. Only a run whose failure would not count, because a run with the same number has failed before, is stopped, and its task waits for its end. A task of which an executor still has an orphaned run is not started, on no path (single, gang, suspect). A higher run on the executor that the task is assigned to replaces the recorded one.

Why this works: the number no longer decides whether a run is wanted, and a task has at most one run that is known, so nothing is started beside one.

--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -303,14 +303,10 @@
 // countFailedRun counts a failed run and reports whether it was not counted before. The runs
 // of a gang's members with the same number count as one.
 func (j *Job) countFailedRun(e End, maxAttempts int) bool {
-	tasks := j.occurrences[e.Task.Occurrence].steps[e.Task.Step].tasks
-	t := &tasks[e.Task.Index]
-	if j.spec.Steps[e.Task.Step].Gang {
-		t = &tasks[0]
-	}
-	if slices.Contains(t.failedRuns, int32(e.Run)) {
+	if j.HasFailed(e.Task, e.Run) {
 		return false
 	}
+	t := j.taskWithFailures(e.Task)
 	t.failedRuns = append(t.failedRuns, int32(e.Run))
 	if len(t.failedRuns) >= maxAttempts {
 		j.end(Phase_failed)
@@ -318,6 +314,21 @@
 	return true
 }
 
+// taskWithFailures returns the task that holds the failed runs of the given task, which is the first
+// one of a gang.
+func (j *Job) taskWithFailures(id TaskID) *Task {
+	tasks := j.occurrences[id.Occurrence].steps[id.Step].tasks
+	if j.spec.Steps[id.Step].Gang {
+		return &tasks[0]
+	}
+	return &tasks[id.Index]
+}
+
+// HasFailed reports whether a run of the task with this number was counted as failed.
+func (j *Job) HasFailed(id TaskID, run int) bool {
+	return j.Task(id) != nil && slices.Contains(j.taskWithFailures(id).failedRuns, int32(run))
+}
+
 // Cancel ends the job unless it has already ended.
 func (j *Job) Cancel() {
 	if j.IsActive() {
--- a/bwschedule/gang.go
+++ b/bwschedule/gang.go
@@ -12,6 +12,12 @@
 	if p.occurrence.CountWaiting(p.step) < len(tasks) {
 		return
 	}
+	for i := range tasks {
+		if p.scheduler.mayStillRun(p.taskID(i)) {
+			p.scheduler.hasUnplacedTasks = true
+			return
+		}
+	}
 	chosen, ok := p.reserveAll(tasks)
 	for i, e := range chosen {
 		e.Remove(p.taskID(i))
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -111,11 +111,27 @@
 			s.maxFree = s.maxFreeOf(candidates)
 			return
 		}
+		if s.mayStillRun(id) {
+			s.hasUnplacedTasks = true
+			continue
+		}
 		s.startTask(j, id, e, tasks[i].Run()+1, now)
 		p.countPlaced(e)
 	}
 }
 
+// mayStillRun reports whether an executor has a run of the task, which may be orphaned. A task with
+// such a run must not be started, not even on the same executor, whose record of the run would be
+// replaced.
+func (s *Scheduler) mayStillRun(id bwjob.TaskID) bool {
+	for _, e := range s.executors {
+		if e.Run(id) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // startTask assigns a task to an executor and queues the start order.
 func (s *Scheduler) startTask(j *bwjob.Job, id bwjob.TaskID, e *bwexecutor.Executor, run int, now bwclock.Time) {
 	t := j.Task(id)
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -180,8 +180,11 @@
 }
 
 // adoptRun records a run that this owner did not expect: a previous owner started it, or a
-// start order took effect after it had been given up. If the task does not need the run,
-// it is marked as orphaned so that it gets stopped.
+// start order took effect after it had been given up. If the task is done or assigned to another
+// executor, the run is marked as orphaned so that it gets stopped. Otherwise the task is assigned
+// to the executor whatever the number of the run, because the restored numbers include that of
+// the current run of a suspect task. A run whose failure would not count, because a run with the
+// same number has failed before, is stopped; the task waits for its end.
 func (s *Scheduler) adoptRun(e *bwexecutor.Executor, status bwexecutor.RunStatus, now bwclock.Time) *bwexecutor.Run {
 	r := &bwexecutor.Run{Task: status.Task, Number: status.Run, Phase: bwexecutor.Running, ConfirmedAt: now, OrderedAt: now, Pace: status.Percent}
 	j := s.jobs[status.Task.Job]
@@ -195,14 +198,19 @@
 	} else {
 		r.Reserved = j.Spec().Steps[status.Task.Step].Reserved()
 	}
-	if t == nil || t.IsDone() || t.Executor() != "" || status.Run <= t.Run() && t.Failures() > 0 {
+	isElsewhere := t != nil && t.Executor() != "" && t.Executor() != e.ID()
+	if t == nil || t.IsDone() || isElsewhere {
 		r.IsOrphaned = true
 		s.logOrphanedRun(e, status, t)
-	} else {
-		j.Assign(status.Task, e.ID(), status.Run)
-		s.log.Info("run adopted", "job", status.Task.Job, "task", status.Task, "run", status.Run, "executor", e.ID())
+		e.Add(r)
+		return r
 	}
+	j.Assign(status.Task, e.ID(), status.Run)
+	s.log.Info("run adopted", "job", status.Task.Job, "task", status.Task, "run", status.Run, "executor", e.ID())
 	e.Add(r)
+	if j.HasFailed(status.Task, status.Run) {
+		s.stopRun(e, r, now, "another run with this number has failed")
+	}
 	return r
 }
 
--- a/bwschedule/suspect.go
+++ b/bwschedule/suspect.go
@@ -171,7 +171,7 @@
 		if e == nil && s.hasWaitedForIsolation(id, now) {
 			e = p.chooseExecutor(t)
 		}
-		if e == nil {
+		if e == nil || s.mayStillRun(id) {
 			s.hasUnplacedTasks = true
 			continue
 		}
