bwowner, bwnode: jobs are found in the pool that accepted them

Cause: a job is stored and looked up under the pool that its queue has now. State, Cancel, Pending and Submit ask only the owner of that pool, and a pool without a queue gets no new owner and no surveys. The name of the queue is such a key too: a renamed queue with the same host and prefix lost its jobs in the same pool.

"request not carried out" names pool=dispatch verdict=absent for jobs whose "job submitted" names pool=quotes, and "job submitted" comes again with pool=dispatch while their runs still work; no record was removed.

Change: a pool stores a placement (nodes/placements/POOL/QUEUE) before the first job of a queue, in the same transactions, and removes it when the queue has left and its last job is forgotten. Nodes mirror the placements with the keys of the owners. State and cancel ask the owners of all pools that may hold jobs of the queue, at the same time, and pending adds up theirs; a job is absent only if all of them say so and the placements were read recently. The owner that is to accept a job first asks the owners of the other pools. One that replies "absent" asks back before it accepts the job itself, so two pools that are asked at the same time, or late, never both accept it. Pools with placements have owners and are surveyed. A record and a request between nodes carry the host and prefix of the queue, which identify it beside its name. Queues without other placements cost nothing but one more entry in the first transaction of an owner.

Why this works: a placement is stored no later than the first job, so wherever a job is, the owners that may know it are asked.

CountPendingJobs takes the queue in place of its name; the checks of its test are the same.

--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwfleet"
 )
 
 // Occurrence is one execution of all steps of a job.
@@ -57,12 +58,20 @@
 	}
 }
 
-// Spec returns the job as it was submitted. A job that has ended keeps only its ID and queue.
+// Spec returns the job as it was submitted. A job that has ended keeps only its ID and
+// queue.
 func (j *Job) Spec() *Spec { return j.spec }
 
 // ID returns the job's ID.
 func (j *Job) ID() string { return j.spec.ID }
 
+// IsOf reports whether callers find the job under a queue: the queue has the name that accepted the
+// job, or the host and the prefix that it had then.
+func (j *Job) IsOf(q bwfleet.Queue) bool {
+	accepted := bwfleet.Placement{Queue: j.spec.Queue, Host: j.spec.AcceptedBy.Host, Prefix: j.spec.AcceptedBy.Prefix}
+	return accepted.IsOf(q)
+}
+
 // Phase returns the lifecycle phase of the job.
 func (j *Job) Phase() Phase { return j.phase }
 
@@ -341,5 +350,5 @@
 	j.phase = p
 	j.occurrences = nil
 	j.finishedOccurrences = nil
-	j.spec = &Spec{ID: j.spec.ID, Queue: j.spec.Queue}
+	j.spec = &Spec{ID: j.spec.ID, Queue: j.spec.Queue, AcceptedBy: j.spec.AcceptedBy}
 }
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwfleet"
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
 )
@@ -19,6 +20,7 @@
 		IntervalMillis: j.spec.Interval.Milliseconds(),
 		AcceptedMillis: j.acceptedAt.Millis(),
 		Phase:          j.phase,
+		AcceptedBy:     toQueueRecord(j.spec.AcceptedBy),
 	}
 	for _, s := range j.spec.Steps {
 		r.Steps = append(r.Steps, s.toRecord())
@@ -49,6 +51,7 @@
 		ScheduledOccurrences: int(r.GetTimes()),
 		FirstAt:              bwclock.Time(r.GetFirstMillis()),
 		Interval:             time.Duration(r.GetIntervalMillis()) * time.Millisecond,
+		AcceptedBy:           r.GetAcceptedBy().toQueue(),
 	}
 	for _, s := range r.GetSteps() {
 		spec.Steps = append(spec.Steps, s.toStep())
@@ -151,6 +154,18 @@
 	return Probation{Run: int(r.GetRun()), Executor: r.GetExecutor(), Incarnation: r.GetIncarnation(), IsAlone: r.GetAlone()}
 }
 
+// toQueueRecord returns nil if the queue is not known.
+func toQueueRecord(q bwfleet.Queue) *QueueRecord {
+	if q == (bwfleet.Queue{}) {
+		return nil
+	}
+	return &QueueRecord{Host: q.Host, Prefix: q.Prefix}
+}
+
+func (r *QueueRecord) toQueue() bwfleet.Queue {
+	return bwfleet.Queue{Host: r.GetHost(), Prefix: r.GetPrefix()}
+}
+
 func (s Step) toRecord() *StepRecord {
 	r := &StepRecord{
 		Count:                  int32(s.Count),
--- a/bwjob/spec.go
+++ b/bwjob/spec.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwfleet"
 )
 
 // Limits of a job. They keep a single submission from exhausting the scheduler's memory.
@@ -98,10 +99,12 @@
 
 // Spec is a job as it was submitted.
 type Spec struct {
-	ID      string
-	Queue   string
-	Payload string
-	Steps   []Step
+	ID    string
+	Queue string
+	// AcceptedBy is the queue as it was when it accepted the job; the zero value if that is not known.
+	AcceptedBy bwfleet.Queue
+	Payload    string
+	Steps      []Step
 	// ScheduledOccurrences is the number of occurrences that have scheduled times. 0 means
 	// that the job runs once, as soon as possible.
 	ScheduledOccurrences int
--- a/bwmaintenance/coordinator.go
+++ b/bwmaintenance/coordinator.go
@@ -65,6 +65,9 @@
 	// the latest configuration, or nil if none has been read yet.
 	Waves         func() []bwfleet.Wave
 	Configuration func() *bwfleet.Configuration
+	// OwnedPools returns the names of the pools that have an owner: those that run the tasks of a queue
+	// or may hold jobs.
+	OwnedPools func() []string
 	// EncodeWaveStatus returns the key and the value under which operators find the state
 	// of a wave.
 	EncodeWaveStatus func(wave int64, isDone bool) (string, []byte)
@@ -159,7 +162,7 @@
 	for _, w := range c.deps.Waves() {
 		c.updateWave(w)
 	}
-	c.surveyPools(config.PoolsWithQueues())
+	c.surveyPools(c.deps.OwnedPools())
 	c.listHosts()
 }
 
--- a/bwmaintenance/coordinator_test.go
+++ b/bwmaintenance/coordinator_test.go
@@ -63,6 +63,7 @@
 		Configuration: func() *bwfleet.Configuration {
 			return bwfleet.NewConfiguration(1, []bwfleet.Queue{{Name: "q", Pool: "desk"}}, []bwfleet.Pool{{Name: "desk"}}, 0)
 		},
+		OwnedPools:       func() []string { return []string{"desk"} },
 		EncodeWaveStatus: func(int64, bool) (string, []byte) { return "status", nil },
 		IsConfirmed:      func() bool { return true },
 		OnLost:           onLost,
--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -12,6 +12,7 @@
 	"net"
 	"time"
 
+	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwmaintenance"
 	"basilwood.example/basilwood/bwowner"
@@ -74,28 +75,39 @@
 	return m.callWithRetry(ctx, address, func(ctx context.Context, c DRPCNodeClient) (*JobReply, error) { return c.Submit(ctx, r) })
 }
 
-// State requests the state of a job from the owner of its pool.
-func (m *Mesh) State(ctx context.Context, address, pool, queue, id string) bwowner.Reply {
-	r := &JobRequest{Pool: pool, Queue: queue, Id: id}
+// State requests the state of a job from the owner of a pool. claimingPool is empty, or the pool
+// whose owner accepts the job if it is absent.
+func (m *Mesh) State(ctx context.Context, address, pool string, q bwfleet.Queue, id, claimingPool string) bwowner.Reply {
+	r := newJobRequest(pool, q, id)
+	r.ClaimingPool = claimingPool
 	return m.callWithRetry(ctx, address, func(ctx context.Context, c DRPCNodeClient) (*JobReply, error) { return c.State(ctx, r) })
 }
 
-// Cancel forwards the cancellation of a job to the owner of its pool.
-func (m *Mesh) Cancel(ctx context.Context, address, pool, queue, id string) bwowner.Reply {
-	r := &JobRequest{Pool: pool, Queue: queue, Id: id}
+// Cancel forwards the cancellation of a job to the owner of a pool.
+func (m *Mesh) Cancel(ctx context.Context, address, pool string, q bwfleet.Queue, id string) bwowner.Reply {
+	r := newJobRequest(pool, q, id)
 	return m.callWithRetry(ctx, address, func(ctx context.Context, c DRPCNodeClient) (*JobReply, error) { return c.Cancel(ctx, r) })
 }
 
+func newJobRequest(pool string, q bwfleet.Queue, id string) *JobRequest {
+	return &JobRequest{Pool: pool, Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Id: id}
+}
+
+// QueueOf returns the queue that a request of another node names.
+func QueueOf(r *JobRequest) bwfleet.Queue {
+	return bwfleet.Queue{Name: r.GetQueue(), Host: r.GetHost(), Prefix: r.GetPrefix()}
+}
+
 // ErrNotOwner means that the called node does not own the pool, or cannot report on it
 // yet.
 var ErrNotOwner = errors.New("node does not own the pool")
 
 // Pending requests the number of jobs of a queue that have not started from the owner of
 // the pool.
-func (m *Mesh) Pending(ctx context.Context, address, pool, queue string) (int, error) {
+func (m *Mesh) Pending(ctx context.Context, address, pool string, q bwfleet.Queue) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, minAttemptTimeout)
 	defer cancel()
-	reply, err := m.client(ctx, address).Pending(ctx, &JobRequest{Pool: pool, Queue: queue})
+	reply, err := m.client(ctx, address).Pending(ctx, newJobRequest(pool, q, ""))
 	if err != nil {
 		return 0, err
 	}
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
+	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwownership"
@@ -31,7 +33,17 @@
 	items, _ := n.nodeKeys.Items()
 	var members []bwownership.Member
 	owners := make(map[string]bwownership.Owner)
+	var placed []bwfleet.Placement
 	for key, item := range items {
+		if strings.HasPrefix(key, prefixPlacements) {
+			var p bwfleet.Placement
+			if err := json.Unmarshal(item.Value, &p); err != nil {
+				n.log.Error("failed to decode a placement", "key", key, "error", err.Error())
+				continue
+			}
+			placed = append(placed, p)
+			continue
+		}
 		var v keyValue
 		if err := json.Unmarshal(item.Value, &v); err != nil {
 			n.log.Error("failed to decode the key of a node", "key", key, "error", err.Error())
@@ -43,6 +55,7 @@
 			members = append(members, bwownership.Member{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, Cores: v.Cores})
 		}
 	}
+	n.placements.set(placed)
 	n.mu.Lock()
 	n.view.SetMembers(members, n.deps.Clock.Now())
 	n.view.SetOwners(owners, n.deps.Clock.Now())
@@ -99,16 +112,24 @@
 	}
 }
 
-// roleNames returns the names of all roles that need an owner: the pools with queues and the
-// host coordinator. The caller must hold n.mu.
+// roleNames returns the names of all roles that need an owner: the pools with queues or with jobs and
+// the host coordinator. The caller must hold n.mu.
 func (n *Node) roleNames() []string {
-	names := n.configuration.PoolsWithQueues()
+	names := n.poolNames()
 	if n.deps.Hosts != nil {
 		names = append(names, hostsRole)
 	}
 	return names
 }
 
+// poolNames returns the sorted names of the pools that run the tasks of a queue or may hold jobs. The
+// caller must hold n.mu.
+func (n *Node) poolNames() []string {
+	names := append(n.configuration.PoolsWithQueues(), n.placements.pools()...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // claimRole tries to become the owner of a role.
 func (n *Node) claimRole(c bwownership.Claim) {
 	defer func() {
@@ -157,7 +178,7 @@
 
 // newOwner returns the owner of a pool. The caller must hold n.mu.
 func (n *Node) newOwner(c bwownership.Claim, key string, fence int64) *bwowner.Owner {
-	ownership := bwowner.Ownership{Pool: c.Pool, Key: key, Fence: fence}
+	ownership := bwowner.Ownership{Pool: c.Pool, Key: key, Fence: fence, PlacementPrefix: prefixPlacements + c.Pool + "/"}
 	if c.PreviousOwnerMayAct {
 		ownership.PreviousOwnerGrace = leaseTTL
 	}
@@ -171,6 +192,8 @@
 		IsOwnershipConfirmed: n.isConfirmed,
 		IsOwnershipFresh:     n.isFresh,
 		IsRegistryFresh:      n.isRegistryFresh,
+		Placements:           n.placements.all,
+		AskPool:              n.askPool,
 		OnLost:               n.roleLost,
 	}, ownership, n.ownerSettings)
 	n.startReadingExecutors()
--- a/bwnode/coordinator.go
+++ b/bwnode/coordinator.go
@@ -32,12 +32,23 @@
 		Log:              n.log,
 		Waves:            n.waves,
 		Configuration:    n.Configuration,
+		OwnedPools:       n.ownedPools,
 		EncodeWaveStatus: n.deps.Registry.EncodeWaveStatus,
 		IsConfirmed:      n.isConfirmed,
 		OnLost:           func(reason string) { n.roleLost(hostsRole, reason) },
 	}, n.maintenanceSettings, key, fence, n.handoverDelay)
 }
 
+// ownedPools returns the names of the pools that need an owner.
+func (n *Node) ownedPools() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.configuration == nil {
+		return nil
+	}
+	return n.poolNames()
+}
+
 // waves returns the maintenance waves that operators have requested.
 func (n *Node) waves() []bwfleet.Wave {
 	items, _ := n.operatorKeys.Items()
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -33,6 +33,8 @@
 	prefixNodes   = "nodes/"
 	prefixMembers = prefixNodes + "members/"
 	prefixOwners  = prefixNodes + "owners/"
+	// prefixPlacements is followed by the names of a pool and of a queue.
+	prefixPlacements = prefixNodes + "placements/"
 )
 
 const (
@@ -131,6 +133,7 @@
 	nodeKeys            *bwmirror.Mirror
 	operatorKeys        *bwmirror.Mirror
 	executorKeys        *bwmirror.Mirror
+	placements          placements
 	goroutines          sync.WaitGroup
 	// decodedExecutors holds the valid registrations by key. Only the goroutine of the
 	// executors' mirror uses it.
--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -29,6 +29,7 @@
 
 // Submit submits a job to the owner of its pool.
 func (n *Node) Submit(ctx context.Context, q bwfleet.Queue, spec *bwjob.Spec) bwowner.Reply {
+	spec.AcceptedBy = q
 	o, address := n.ownerOf(q.Pool)
 	var reply bwowner.Reply
 	switch {
@@ -44,63 +45,140 @@
 		}
 		reply = n.deps.Mesh.Submit(ctx, address, q.Pool, record)
 	}
-	n.logReply("submit", q, spec.ID, address, reply)
+	n.logReply("submit", q, q.Pool, spec.ID, address, reply)
 	return reply
 }
 
 // State returns the state of a job.
 func (n *Node) State(ctx context.Context, q bwfleet.Queue, id string) bwowner.Reply {
-	o, address := n.ownerOf(q.Pool)
-	var reply bwowner.Reply
+	return n.askPools(ctx, "state", q, id, func(ctx context.Context, pool string) (bwowner.Reply, string) {
+		return n.stateIn(ctx, pool, q, id, "")
+	})
+}
+
+// stateIn returns the state of a job in a pool and the address that was asked, which is empty for this
+// node. claimingPool is empty, or the pool whose owner accepts the job if it is absent.
+func (n *Node) stateIn(ctx context.Context, pool string, q bwfleet.Queue, id, claimingPool string) (bwowner.Reply, string) {
+	o, address := n.ownerOf(pool)
 	switch {
+	case o != nil && claimingPool != "":
+		return o.Yield(q, id, claimingPool), ""
 	case o != nil:
-		reply = o.State(q.Name, id)
+		return o.State(q, id), ""
 	case address == "":
-		reply = noOwnerReply()
+		return noOwnerReply(), ""
 	default:
-		reply = n.deps.Mesh.State(ctx, address, q.Pool, q.Name, id)
+		return n.deps.Mesh.State(ctx, address, pool, q, id, claimingPool), address
 	}
-	n.logReply("state", q, id, address, reply)
+}
+
+// askPool asks the owner of a pool for a job that the owner of claimingPool is about to accept.
+func (n *Node) askPool(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) bwowner.Reply {
+	q := spec.AcceptedBy
+	q.Name = spec.Queue
+	reply, _ := n.stateIn(ctx, pool, q, spec.ID, claimingPool)
 	return reply
 }
 
 // Cancel cancels a job.
 func (n *Node) Cancel(ctx context.Context, q bwfleet.Queue, id string) bwowner.Reply {
-	o, address := n.ownerOf(q.Pool)
-	var reply bwowner.Reply
-	switch {
-	case o != nil:
-		reply = o.Cancel(ctx, q.Name, id)
-	case address == "":
-		reply = noOwnerReply()
-	default:
-		reply = n.deps.Mesh.Cancel(ctx, address, q.Pool, q.Name, id)
+	return n.askPools(ctx, "cancel", q, id, func(ctx context.Context, pool string) (bwowner.Reply, string) {
+		o, address := n.ownerOf(pool)
+		switch {
+		case o != nil:
+			return o.Cancel(ctx, q, id), ""
+		case address == "":
+			return noOwnerReply(), ""
+		default:
+			return n.deps.Mesh.Cancel(ctx, address, pool, q, id), address
+		}
+	})
+}
+
+// askPools sends a request about a job to the owner of the queue's pool and to those of the other
+// pools that may hold jobs of the queue. It returns the reply of the owner that knows the job. Without
+// one it returns the reply that claims least: the job is absent only if no owner knows it and the
+// placements were read recently.
+func (n *Node) askPools(ctx context.Context, call string, q bwfleet.Queue, id string,
+	ask func(ctx context.Context, pool string) (bwowner.Reply, string)) bwowner.Reply {
+	others := bwfleet.OtherPools(n.placements.all(), q)
+	if len(others) == 0 {
+		reply, address := ask(ctx, q.Pool)
+		n.logReply(call, q, q.Pool, id, address, reply)
+		return n.qualifyAbsence(reply)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan bwowner.Reply, len(others)+1)
+	for _, pool := range append(others, q.Pool) {
+		go func() {
+			reply, address := ask(ctx, pool)
+			n.logReply(call, q, pool, id, address, reply)
+			replies <- reply
+		}()
+	}
+	result := bwowner.Reply{Verdict: bwowner.Absent}
+	for range cap(replies) {
+		reply := <-replies
+		if reply.Verdict == bwowner.OK {
+			return reply
+		}
+		if claimsLess(reply.Verdict, result.Verdict) {
+			result = reply
+		}
+	}
+	return n.qualifyAbsence(result)
+}
+
+// qualifyAbsence returns the reply, or a refusal if the job is absent from the asked pools and other
+// pools may hold jobs of the queue that this node has not read of.
+func (n *Node) qualifyAbsence(reply bwowner.Reply) bwowner.Reply {
+	if reply.Verdict == bwowner.Absent && !n.hasRecentOwners(n.maxOwnersAge) {
+		return bwowner.Reply{Verdict: bwowner.Refused, Reason: "not certain which pools hold jobs of the queue", RetryAfter: bwowner.ShortRetryDelay}
 	}
-	n.logReply("cancel", q, id, address, reply)
 	return reply
 }
 
-// Pending returns the number of a queue's jobs that have not started, and whether it is known.
+// claimsLess reports whether verdict a claims less than b: an absent job is absent from all pools, a
+// refused request has had no effect, and an unknown outcome may be anything.
+func claimsLess(a, b bwowner.Verdict) bool {
+	return a == bwowner.Unknown && b != bwowner.Unknown || a == bwowner.Refused && b == bwowner.Absent
+}
+
+// Pending returns the number of a queue's jobs that have not started, in all pools that may hold some,
+// and whether it is known.
 func (n *Node) Pending(ctx context.Context, q bwfleet.Queue) (int, bool) {
-	o, address := n.ownerOf(q.Pool)
+	sum := 0
+	for _, pool := range append([]string{q.Pool}, bwfleet.OtherPools(n.placements.all(), q)...) {
+		pending, known := n.pendingIn(ctx, pool, q)
+		if !known {
+			return 0, false
+		}
+		sum += pending
+	}
+	return sum, true
+}
+
+func (n *Node) pendingIn(ctx context.Context, pool string, q bwfleet.Queue) (int, bool) {
+	o, address := n.ownerOf(pool)
 	switch {
 	case o != nil:
-		return o.Pending(q.Name)
+		return o.Pending(q)
 	case address == "":
 		return 0, false
 	default:
-		pending, err := n.deps.Mesh.Pending(ctx, address, q.Pool, q.Name)
-		n.calls.record(peerCall{method: "pending", address: address, pool: q.Pool}, err)
+		pending, err := n.deps.Mesh.Pending(ctx, address, pool, q)
+		n.calls.record(peerCall{method: "pending", address: address, pool: pool}, err)
 		return pending, err == nil
 	}
 }
 
-func (n *Node) logReply(call string, q bwfleet.Queue, id, address string, reply bwowner.Reply) {
+func (n *Node) logReply(call string, q bwfleet.Queue, pool, id, address string, reply bwowner.Reply) {
 	n.deps.Metrics.observeRequest(call, reply.Verdict)
 	if reply.Verdict == bwowner.OK {
 		return
 	}
-	n.log.Info("request not carried out", "request", id, "call", call, "queue", q.Name, "pool", q.Pool,
+	n.log.Info("request not carried out", "request", id, "call", call, "queue", q.Name, "pool", pool,
 		"owner", address, "verdict", reply.Verdict.String(), "reason", reply.Reason)
 }
 
@@ -151,7 +229,10 @@
 	if o == nil {
 		return notOwnerReply(), nil
 	}
-	return bwmesh.EncodeReply(o.State(r.GetQueue(), r.GetId())), nil
+	if pool := r.GetClaimingPool(); pool != "" {
+		return bwmesh.EncodeReply(o.Yield(bwmesh.QueueOf(r), r.GetId(), pool)), nil
+	}
+	return bwmesh.EncodeReply(o.State(bwmesh.QueueOf(r), r.GetId())), nil
 }
 
 // Cancel cancels a job of a pool that this node owns.
@@ -160,7 +241,7 @@
 	if o == nil {
 		return notOwnerReply(), nil
 	}
-	return bwmesh.EncodeReply(o.Cancel(ctx, r.GetQueue(), r.GetId())), nil
+	return bwmesh.EncodeReply(o.Cancel(ctx, bwmesh.QueueOf(r), r.GetId())), nil
 }
 
 // Pending returns the number of jobs that have not started in a queue of a pool that this
@@ -170,6 +251,6 @@
 	if o == nil {
 		return &bwmesh.PendingReply{}, nil
 	}
-	pending, known := o.Pending(r.GetQueue())
+	pending, known := o.Pending(bwmesh.QueueOf(r))
 	return &bwmesh.PendingReply{Known: known, Pending: int64(pending)}, nil
 }
--- a/bwowner/flush.go
+++ b/bwowner/flush.go
@@ -110,6 +110,8 @@
 		return
 	}
 	o.sweptAt = now
+	o.sweepPlacements()
+	o.sweepYielded(now)
 	var writes []bwcommit.Write
 	for id, ended := range o.endedAt {
 		if now.Sub(ended) < o.settings.EndedJobRetention || len(writes) == sweepBatch {
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -81,8 +81,11 @@
 	defer o.mu.Unlock()
 	now := o.deps.Clock.Now()
 	o.flushedAt, o.sweptAt = now, now
+	var jobs []*bwjob.Job
 	for _, item := range items {
-		o.loadJob(item)
+		if j := o.loadJob(item); j != nil {
+			jobs = append(jobs, j)
+		}
 	}
 	guard := bwcommit.Guard{
 		OwnerKey:         o.ownership.Key,
@@ -91,6 +94,7 @@
 		SequenceRevision: sequence.Revision,
 	}
 	o.committer = bwcommit.New(o.deps.Store, guard, o.deps.Clock, o.log, o.loseOwnership)
+	o.placeLoadedQueues(jobs)
 	o.awaitExecutors(listed)
 	if len(listed) > 0 {
 		o.scheduler.DeferEvictions(now.Add(o.settings.MaxStopTime + stopMargin))
@@ -103,19 +107,21 @@
 	return nil
 }
 
-func (o *Owner) loadJob(item bwkv.Item) {
+// loadJob passes a stored job to the scheduler and returns it, or nil if it cannot be decoded.
+func (o *Owner) loadJob(item bwkv.Item) *bwjob.Job {
 	j, err := bwjob.Decode(item.Value)
 	if err != nil {
 		// The record stays in the store, so that a version that can decode it still knows
 		// the job.
 		o.log.Error("cannot decode stored job record", "key", item.Key, "revision", item.Revision, "error", err.Error())
-		return
+		return nil
 	}
 	now := o.deps.Clock.Now()
 	o.scheduler.LoadJob(j)
 	if !j.IsActive() {
 		o.endedAt[j.ID()] = now
 	}
+	return j
 }
 
 // awaitExecutors blocks the placement of the loaded jobs' tasks until each executor of the
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -22,6 +22,7 @@
 	"basilwood.example/basilwood/bwcommit"
 	"basilwood.example/basilwood/bwexecutor"
 	"basilwood.example/basilwood/bwfleet"
+	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwschedule"
 	"github.com/hashicorp/go-hclog"
@@ -104,6 +105,8 @@
 	// written; it is the fencing token of the owner's orders.
 	Key   string
 	Fence int64
+	// PlacementPrefix is the prefix of the keys of the pool's placements.
+	PlacementPrefix string
 	// PreviousOwnerGrace is how long the previous owner may still extend executor leases; 0 if
 	// it is known to have stopped.
 	PreviousOwnerGrace time.Duration
@@ -136,6 +139,11 @@
 	// IsRegistryFresh reports whether the registrations were read recently enough to rely on the
 	// capacity of the executors.
 	IsRegistryFresh func() bool
+	// Placements returns the placements of all queues, as last read from the store. The Owner does
+	// not modify the slice.
+	Placements func() []bwfleet.Placement
+	// AskPool asks the owner of a pool for a job that the owner of claimingPool is about to accept.
+	AskPool func(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) Reply
 	// OnLost is called once when another owner has taken over the pool.
 	OnLost func(pool, reason string)
 }
@@ -162,6 +170,11 @@
 	pendingSubmissions map[string]*submission
 	unstoredWrites     map[string]int
 	endedAt            map[string]bwclock.Time
+	// routed holds the queues that the configuration sends to the pool, and placed those whose
+	// placement this owner has written or found. yielded holds the jobs left to other pools.
+	routed  map[string]bool
+	placed  map[string]bool
+	yielded map[string]yieldedJob
 	// listedExecutors holds the executors on the stored list, or on the list being written.
 	listedExecutors map[string]bool
 	listChangedAt   bwclock.Time
@@ -192,6 +205,9 @@
 		pendingSubmissions: make(map[string]*submission),
 		unstoredWrites:     make(map[string]int),
 		endedAt:            make(map[string]bwclock.Time),
+		routed:             make(map[string]bool),
+		placed:             make(map[string]bool),
+		yielded:            make(map[string]yieldedJob),
 		listedExecutors:    make(map[string]bool),
 	}
 }
@@ -351,13 +367,6 @@
 	}()
 }
 
-// SetQueues updates the configured queues.
-func (o *Owner) SetQueues(queues []bwfleet.Queue) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.scheduler.SetQueues(queues)
-}
-
 // SetExecutors replaces the list of the pool's registered executors.
 func (o *Owner) SetExecutors(list []bwexecutor.Registration) {
 	o.mu.Lock()
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwcommit"
+	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwmaintenance"
 )
@@ -68,8 +69,9 @@
 // submission is a submitted job whose record is being stored. reply is set before done is
 // closed.
 type submission struct {
-	done  chan struct{}
-	reply Reply
+	done   chan struct{}
+	record []byte
+	reply  Reply
 }
 
 // Submit stores a job and returns once the outcome of the write is known or ctx is done. It
@@ -114,14 +116,29 @@
 		o.log.Error("cannot encode job record", "job", spec.ID, "error", err.Error())
 		return nil, Reply{Verdict: Refused, Reason: "job cannot be encoded", RetryAfter: storeRetryDelay}
 	}
-	s := &submission{done: make(chan struct{})}
+	s := &submission{done: make(chan struct{}), record: value}
 	o.pendingSubmissions[spec.ID] = s
-	o.committer.Add(bwcommit.Write{Key: JobPrefix(o.ownership.Pool) + spec.ID, Value: value, CanReject: true, Done: func(outcome bwcommit.WriteOutcome) {
-		o.finishSubmission(j, s, outcome)
-	}})
+	if pools := o.otherPools(spec); len(pools) > 0 {
+		o.group.Add(1)
+		go func() {
+			defer o.group.Done()
+			o.askOtherPools(j, s, pools)
+		}()
+		return s, Reply{}
+	}
+	o.storeSubmission(j, s)
 	return s, Reply{}
 }
 
+// storeSubmission queues the write of a new job's record. The caller holds the lock.
+func (o *Owner) storeSubmission(j *bwjob.Job, s *submission) {
+	o.committer.Add(append(o.placementWrites(j.Spec()), bwcommit.Write{
+		Key: JobPrefix(o.ownership.Pool) + j.ID(), Value: s.record, CanReject: true, Done: func(outcome bwcommit.WriteOutcome) {
+			o.finishSubmission(j, s, outcome)
+		},
+	})...)
+}
+
 // checkServing returns false and the reply to send if this owner cannot serve requests now.
 func (o *Owner) checkServing() (Reply, bool) {
 	if !o.isReady || o.isStopping || o.ctx.Err() != nil || !o.deps.IsOwnershipConfirmed() {
@@ -135,31 +152,44 @@
 func (o *Owner) finishSubmission(j *bwjob.Job, s *submission, outcome bwcommit.WriteOutcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.pendingSubmissions, j.ID())
 	switch outcome {
 	case bwcommit.Stored:
 		o.scheduler.Submit(j)
-		s.reply = Reply{Verdict: OK}
+		o.completeSubmission(j, s, Reply{Verdict: OK})
 	case bwcommit.NotStored:
-		s.reply = Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay}
+		o.completeSubmission(j, s, Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay})
 	default:
-		s.reply = Reply{Verdict: Unknown, Reason: "the store has not answered"}
+		o.completeSubmission(j, s, Reply{Verdict: Unknown, Reason: "the store has not answered"})
 	}
-	o.log.Info("job submitted", "job", j.ID(), "queue", j.Spec().Queue, "verdict", s.reply.Verdict.String(),
-		"took", o.deps.Clock.Now().Sub(j.AcceptedAt()).String())
+}
+
+// completeSubmission ends a submission with a reply. The caller holds the lock.
+func (o *Owner) completeSubmission(j *bwjob.Job, s *submission, reply Reply) {
+	delete(o.pendingSubmissions, j.ID())
+	s.reply = reply
+	o.log.Info("job submitted", "job", j.ID(), "queue", j.Spec().Queue, "verdict", reply.Verdict.String(),
+		"reason", reply.Reason, "took", o.deps.Clock.Now().Sub(j.AcceptedAt()).String())
 	close(s.done)
 	o.requestPass()
 }
 
+// findJob returns a job of a queue, or nil.
+func (o *Owner) findJob(q bwfleet.Queue, id string) *bwjob.Job {
+	if j := o.scheduler.Job(id); j != nil && j.IsOf(q) {
+		return j
+	}
+	return nil
+}
+
 // State returns the state of a job.
-func (o *Owner) State(queue, id string) Reply {
+func (o *Owner) State(q bwfleet.Queue, id string) Reply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if reply, ok := o.checkServing(); !ok {
 		return reply
 	}
-	j := o.scheduler.Job(id)
-	if j == nil || j.Spec().Queue != queue {
+	j := o.findJob(q, id)
+	if j == nil {
 		return o.absentReply(id)
 	}
 	return Reply{Verdict: OK, State: o.stateOf(j)}
@@ -199,8 +229,8 @@
 }
 
 // Cancel ends a job and returns once that is stored, its outcome is unknown or ctx is done.
-func (o *Owner) Cancel(ctx context.Context, queue, id string) Reply {
-	stored, reply := o.enqueueCancel(queue, id)
+func (o *Owner) Cancel(ctx context.Context, q bwfleet.Queue, id string) Reply {
+	stored, reply := o.enqueueCancel(q, id)
 	if stored == nil {
 		return reply
 	}
@@ -217,14 +247,14 @@
 
 // enqueueCancel cancels the job and queues the write of its record. It returns a nil channel
 // if the reply is known immediately.
-func (o *Owner) enqueueCancel(queue, id string) (chan bwcommit.WriteOutcome, Reply) {
+func (o *Owner) enqueueCancel(q bwfleet.Queue, id string) (chan bwcommit.WriteOutcome, Reply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if reply, ok := o.checkServing(); !ok {
 		return nil, reply
 	}
-	j := o.scheduler.Job(id)
-	if j == nil || j.Spec().Queue != queue {
+	j := o.findJob(q, id)
+	if j == nil {
 		return nil, o.absentReply(id)
 	}
 	if !j.IsActive() && o.isStored(id) {
@@ -232,7 +262,7 @@
 	}
 	now := o.deps.Clock.Now()
 	o.scheduler.Cancel(j, now)
-	o.log.Info("job cancelled", "job", id, "queue", queue)
+	o.log.Info("job cancelled", "job", id, "queue", q.Name)
 	w, ok := o.newRecordWrite(j)
 	if !ok {
 		return nil, Reply{Verdict: Unknown, Reason: "job cannot be encoded"}
@@ -250,13 +280,13 @@
 
 // Pending returns the number of a queue's jobs that have not started. It returns false if
 // this owner cannot serve requests now.
-func (o *Owner) Pending(queue string) (int, bool) {
+func (o *Owner) Pending(q bwfleet.Queue) (int, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, ok := o.checkServing(); !ok {
 		return 0, false
 	}
-	return o.scheduler.CountPendingJobs(queue), true
+	return o.scheduler.CountPendingJobs(q), true
 }
 
 // Survey summarizes the pool's state for the host coordinator (package bwmaintenance). It
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -144,6 +144,16 @@
 // CountJobs returns the number of all jobs and of the active ones.
 func (s *Scheduler) CountJobs() (all, active int) { return len(s.jobs), len(s.active) }
 
+// HasJobsOf reports whether a job of a queue is known, ended or not.
+func (s *Scheduler) HasJobsOf(queue string) bool {
+	for _, j := range s.jobs {
+		if j.Spec().Queue == queue {
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveJob removes a job that has ended.
 func (s *Scheduler) RemoveJob(id string) { delete(s.jobs, id) }
 
@@ -155,10 +165,10 @@
 
 // CountPendingJobs returns the number of active jobs of a queue that have not started. Jobs
 // with scheduled occurrences are not counted.
-func (s *Scheduler) CountPendingJobs(queue string) int {
+func (s *Scheduler) CountPendingJobs(q bwfleet.Queue) int {
 	n := 0
 	for _, j := range s.active {
-		if j.Spec().Queue == queue && j.Spec().ScheduledOccurrences == 0 && !j.HasStarted() {
+		if j.IsOf(q) && j.Spec().ScheduledOccurrences == 0 && !j.HasStarted() {
 			n++
 		}
 	}
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -377,14 +377,14 @@
 			h.submit("j", newStep(1000, 1))
 			orders := h.s.Schedule(h.now)
 			assert.Equal(t, len(orders), 1)
-			assert.Equal(t, h.s.CountPendingJobs("q"), 1)
+			assert.Equal(t, h.s.CountPendingJobs(bwfleet.Queue{Name: "q"}), 1)
 			h.s.HandleResult(orders[0], result, h.now)
-			assert.Equal(t, h.s.CountPendingJobs("q"), 1)
+			assert.Equal(t, h.s.CountPendingJobs(bwfleet.Queue{Name: "q"}), 1)
 			h.advance(2 * time.Second)
 			h.report("e0", bwexecutor.Report{Incarnation: 1, Running: []bwexecutor.RunStatus{{Task: orders[0].Task, Run: orders[0].Run}}})
-			assert.Equal(t, h.s.CountPendingJobs("q"), 0)
+			assert.Equal(t, h.s.CountPendingJobs(bwfleet.Queue{Name: "q"}), 0)
 			h.crash("e0")
-			assert.Equal(t, h.s.CountPendingJobs("q"), 0)
+			assert.Equal(t, h.s.CountPendingJobs(bwfleet.Queue{Name: "q"}), 0)
 		})
 	}
 }
