bwschedule: the log tells the settings by which an ended run is judged

Two hypotheses: 1. The owner lacks the settings of the queue and takes the missing number of attempts for one. 2. The one failed run counts several times, because its end is reported again to a new owner, or the job fails by crashes of its executors. The lines "run ended" and "job ended" did not tell them apart. Change: "run ended" names the queue, whether its settings are known and the number of attempts. Hypothesis 1 predicts isQueueKnown=false maxAttempts=1 on the one failed run; hypothesis 2 predicts isQueueKnown=true maxAttempts=4 and several lines, or "executor crashed during a run".

--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -96,11 +96,11 @@
 	if j == nil {
 		return
 	}
-	queue := s.queues[j.Spec().Queue]
+	queue, isQueueKnown := s.queues[j.Spec().Queue]
 	j.OpenThrough(end.Task.Occurrence)
 	s.recordOutcome(e, j, end, now)
 	s.log.Info("run ended", append([]any{"job", end.Task.Job, "task", end.Task, "run", end.Run, "executor", e.ID(),
-		"how", end.Kind.String()}, s.availability(end.Task, now)...)...)
+		"how", end.Kind.String(), "queue", j.Spec().Queue, "isQueueKnown", isQueueKnown, "maxAttempts", maxAttempts(queue)}, s.availability(end.Task, now)...)...)
 	hasChanged := j.IsActive() && j.RecordEnd(end, maxAttempts(queue))
 	if isCurrent && !isOrphaned && j.IsActive() {
 		j.Release(end.Task, e.ID())
