bwschedule: a queue that the configuration lacks keeps its settings

Cause: the scheduler reads the settings of a job's queue from a map, and a missing queue as the zero Queue. An owner keeps the settings of a removed queue, but a new one never had them: the number of attempts became one, the priority the highest, the objective zero, and advice not needed.

Evidence: "run ended" how=failed run=1 isQueueKnown=false maxAttempts=1, the only failed run of the job, without a crash.

Change: the record of a job holds the settings with which its queue accepted it. They apply if the owner has never read a configuration with the queue. Owners read the settings of all queues, also of those that the configuration sends to other pools.

Why this works: a missing queue is told from one whose settings are zero in the one place that reads them (settingsOf), and every reader of a setting goes through it.

--- a/bwfleet/fleet.go
+++ b/bwfleet/fleet.go
@@ -96,17 +96,6 @@
 	return names
 }
 
-// QueuesOf returns the queues whose tasks run in a pool.
-func (c *Configuration) QueuesOf(pool string) []Queue {
-	var list []Queue
-	for _, q := range c.queues {
-		if q.Pool == pool {
-			list = append(list, q)
-		}
-	}
-	return list
-}
-
 // Wave is an operator's request for maintenance of a set of hosts.
 type Wave struct {
 	Number int64
--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -323,6 +323,22 @@
 	return true
 }
 
+// FailIfExhausted fails an active job if a task of it has failed maxAttempts times, and reports whether
+// it did.
+func (j *Job) FailIfExhausted(maxAttempts int) bool {
+	for _, o := range j.occurrences {
+		for step := range o.steps {
+			for i := range o.steps[step].tasks {
+				if t := &o.steps[step].tasks[i]; !t.isDone && len(t.failedRuns) >= maxAttempts {
+					j.end(Phase_failed)
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // taskWithFailures returns the task that holds the failed runs of the given task, which is the first
 // one of a gang.
 func (j *Job) taskWithFailures(id TaskID) *Task {
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -159,11 +159,27 @@
 	if q == (bwfleet.Queue{}) {
 		return nil
 	}
-	return &QueueRecord{Host: q.Host, Prefix: q.Prefix}
+	return &QueueRecord{
+		Host:                  q.Host,
+		Prefix:                q.Prefix,
+		Priority:              int32(q.Priority),
+		MaxAttempts:           int32(q.MaxAttempts),
+		Stretch:               q.Stretch,
+		ObjectiveOffsetMillis: q.ObjectiveOffset.Milliseconds(),
+		NeedsAdvice:           q.NeedsAdvice,
+	}
 }
 
 func (r *QueueRecord) toQueue() bwfleet.Queue {
-	return bwfleet.Queue{Host: r.GetHost(), Prefix: r.GetPrefix()}
+	return bwfleet.Queue{
+		Host:            r.GetHost(),
+		Prefix:          r.GetPrefix(),
+		Priority:        int(r.GetPriority()),
+		MaxAttempts:     int(r.GetMaxAttempts()),
+		Stretch:         r.GetStretch(),
+		ObjectiveOffset: time.Duration(r.GetObjectiveOffsetMillis()) * time.Millisecond,
+		NeedsAdvice:     r.GetNeedsAdvice(),
+	}
 }
 
 func (s Step) toRecord() *StepRecord {
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -197,7 +197,7 @@
 		OnLost:               n.roleLost,
 	}, ownership, n.ownerSettings)
 	n.startReadingExecutors()
-	o.SetQueues(n.configuration.QueuesOf(c.Pool))
+	o.SetQueues(n.configuration.Queues())
 	o.SetExecutors(n.registrations[c.Pool])
 	return o
 }
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -286,7 +286,7 @@
 	owners := n.localOwners()
 	n.mu.Unlock()
 	for _, o := range owners {
-		o.SetQueues(c.QueuesOf(o.Pool()))
+		o.SetQueues(c.Queues())
 	}
 	n.log.Info("configuration in force", "version", c.Version(), "revision", item.Revision, "queues", len(c.Queues()),
 		"bytes", len(item.Value), "took", n.deps.Clock.Now().Sub(startedAt).String())
--- a/bwowner/placements.go
+++ b/bwowner/placements.go
@@ -26,13 +26,16 @@
 	at   bwclock.Time
 }
 
-// SetQueues updates the configured queues whose tasks run in this pool.
+// SetQueues updates the configured queues. Those whose tasks run in other pools may have left jobs in
+// this one.
 func (o *Owner) SetQueues(queues []bwfleet.Queue) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.routed = make(map[string]bool, len(queues))
 	for _, q := range queues {
-		o.routed[q.Name] = true
+		if q.Pool == o.ownership.Pool {
+			o.routed[q.Name] = true
+		}
 	}
 	o.scheduler.SetQueues(queues)
 }
--- a/bwschedule/gang.go
+++ b/bwschedule/gang.go
@@ -13,6 +13,9 @@
 		return
 	}
 	for i := range tasks {
+		if !p.scheduler.mayRetry(p.job, &tasks[i]) {
+			return
+		}
 		if p.scheduler.mayStillRun(p.taskID(i)) {
 			p.scheduler.hasUnplacedTasks = true
 			return
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -24,6 +24,7 @@
 // Schedule assigns due tasks to executors. It returns the resulting orders together with
 // those that earlier events have queued.
 func (s *Scheduler) Schedule(now bwclock.Time) []Order {
+	s.failExhaustedJobs(now)
 	s.evict(now)
 	s.hasUnplacedTasks = false
 	candidates := s.candidates(now)
@@ -100,7 +101,7 @@
 	}
 	tasks := o.Tasks(step)
 	for i := range tasks {
-		if !tasks[i].IsWaiting() || tasks[i].NeedsIsolation() {
+		if !tasks[i].IsWaiting() || tasks[i].NeedsIsolation() || !s.mayRetry(j, &tasks[i]) {
 			continue
 		}
 		id := bwjob.TaskID{Job: j.ID(), Occurrence: o.Index(), Step: step, Index: i}
@@ -168,7 +169,7 @@
 	if step.Label != "" {
 		list = withLabel(list, step.Label)
 	}
-	if p.scheduler.queues[p.job.Spec().Queue].NeedsAdvice {
+	if q, _ := p.scheduler.settingsOf(p.job); q.NeedsAdvice {
 		list = p.withTickets(list)
 	}
 	if step.SameRack {
--- a/bwschedule/queue.go
+++ b/bwschedule/queue.go
@@ -11,6 +11,7 @@
 package bwschedule
 
 import (
+	"math"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
@@ -24,6 +25,46 @@
 	return j.AcceptedAt().Add(time.Duration(criticalPath) + q.ObjectiveOffset)
 }
 
-// maxAttempts returns how many failed runs of a task fail its job. It returns at least 1,
-// because the configuration may no longer list the queue.
-func maxAttempts(q bwfleet.Queue) int { return max(1, q.MaxAttempts) }
+// settingsOf returns the settings of a job's queue: those of the latest configuration that had the
+// queue, or else those with which it accepted the job. It returns false if neither is known, as for
+// a job that an earlier version accepted and whose queue is not in the configuration.
+func (s *Scheduler) settingsOf(j *bwjob.Job) (bwfleet.Queue, bool) {
+	if q, ok := s.queues[j.Spec().Queue]; ok {
+		return q, true
+	}
+	q := j.Spec().AcceptedBy
+	return q, q.MaxAttempts > 0
+}
+
+// maxAttempts returns how many failed runs of a task fail the job, which is no number if the settings
+// of its queue are not known.
+func (s *Scheduler) maxAttempts(j *bwjob.Job) int {
+	q, isKnown := s.settingsOf(j)
+	if !isKnown {
+		return math.MaxInt
+	}
+	return max(1, q.MaxAttempts)
+}
+
+// mayRetry reports whether a task may be started as far as its failed runs are concerned. Without the
+// settings of the queue it is not known whether another run is allowed.
+func (s *Scheduler) mayRetry(j *bwjob.Job, t *bwjob.Task) bool {
+	_, isKnown := s.settingsOf(j)
+	return isKnown || t.Failures() == 0
+}
+
+// failExhaustedJobs fails the jobs of queues that have become known whose tasks have failed as often as
+// the queue allows.
+func (s *Scheduler) failExhaustedJobs(now bwclock.Time) {
+	if len(s.newQueues) == 0 {
+		return
+	}
+	isNew := s.newQueues
+	s.newQueues = make(map[string]bool)
+	for _, j := range s.active {
+		wasUnknown := isNew[j.Spec().Queue] && j.Spec().AcceptedBy.MaxAttempts == 0
+		if wasUnknown && j.FailIfExhausted(s.maxAttempts(j)) {
+			s.handleJobChange(j, now)
+		}
+	}
+}
--- a/bwschedule/rank.go
+++ b/bwschedule/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -44,7 +45,7 @@
 		if !j.HasDueStep() {
 			continue
 		}
-		c := rankedJob{job: j, priority: s.queues[j.Spec().Queue].Priority}
+		c := rankedJob{job: j, priority: s.priorityOf(j)}
 		c.rank, c.remainingWork = s.rank(j, now)
 		list = append(list, c)
 	}
@@ -52,6 +53,15 @@
 	return list
 }
 
+// priorityOf returns the priority of a job's queue, which is the lowest if it is not known.
+func (s *Scheduler) priorityOf(j *bwjob.Job) int {
+	q, isKnown := s.settingsOf(j)
+	if !isKnown {
+		return math.MaxInt
+	}
+	return q.Priority
+}
+
 // The ranks of jobs.
 const (
 	rankLongRunning = iota
@@ -96,10 +106,11 @@
 	if isLongRunning {
 		return rankLongRunning, remainingWork
 	}
-	if j.Spec().ScheduledOccurrences > 0 {
+	q, isKnown := s.settingsOf(j)
+	if j.Spec().ScheduledOccurrences > 0 || !isKnown {
 		return rankOnTime, remainingWork
 	}
-	deadline := latencyDeadline(s.queues[j.Spec().Queue], j)
+	deadline := latencyDeadline(q, j)
 	if remainingDuration <= deadline.Sub(now).Seconds() {
 		return rankOnTime, remainingWork
 	}
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -96,12 +96,12 @@
 	if j == nil {
 		return
 	}
-	queue, isQueueKnown := s.queues[j.Spec().Queue]
+	_, isQueueKnown := s.settingsOf(j)
 	j.OpenThrough(end.Task.Occurrence)
 	s.recordOutcome(e, j, end, now)
 	s.log.Info("run ended", append([]any{"job", end.Task.Job, "task", end.Task, "run", end.Run, "executor", e.ID(),
-		"how", end.Kind.String(), "queue", j.Spec().Queue, "isQueueKnown", isQueueKnown, "maxAttempts", maxAttempts(queue)}, s.availability(end.Task, now)...)...)
-	hasChanged := j.IsActive() && j.RecordEnd(end, maxAttempts(queue))
+		"how", end.Kind.String(), "queue", j.Spec().Queue, "isQueueKnown", isQueueKnown, "maxAttempts", s.maxAttempts(j)}, s.availability(end.Task, now)...)...)
+	hasChanged := j.IsActive() && j.RecordEnd(end, s.maxAttempts(j))
 	if isCurrent && !isOrphaned && j.IsActive() {
 		j.Release(end.Task, e.ID())
 	}
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -33,8 +33,10 @@
 
 // Scheduler holds the jobs and executors of one pool.
 type Scheduler struct {
-	log       hclog.Logger
-	queues    map[string]bwfleet.Queue
+	log    hclog.Logger
+	queues map[string]bwfleet.Queue
+	// newQueues holds the queues that have become known since the latest pass.
+	newQueues map[string]bool
 	jobs      map[string]*bwjob.Job
 	active    map[string]*bwjob.Job
 	executors map[string]*bwexecutor.Executor
@@ -75,6 +77,7 @@
 	return &Scheduler{
 		log:       log,
 		queues:    make(map[string]bwfleet.Queue),
+		newQueues: make(map[string]bool),
 		jobs:      make(map[string]*bwjob.Job),
 		active:    make(map[string]*bwjob.Job),
 		executors: make(map[string]*bwexecutor.Executor),
@@ -91,6 +94,9 @@
 // SetQueues adds or replaces queues. Queues that are not in the list keep their settings.
 func (s *Scheduler) SetQueues(queues []bwfleet.Queue) {
 	for _, q := range queues {
+		if _, isKnown := s.queues[q.Name]; !isKnown {
+			s.newQueues[q.Name] = true
+		}
 		s.queues[q.Name] = q
 	}
 }
--- a/bwschedule/suspect.go
+++ b/bwschedule/suspect.go
@@ -162,7 +162,7 @@
 		}
 		j := s.jobs[id.Job]
 		o := j.Occurrence(id.Occurrence)
-		if !t.IsWaiting() || !o.IsUnblocked(j.Spec(), id.Step) || s.mustWaitAfterTakeover(j, id.Step, now) || j.Spec().Steps[id.Step].Gang {
+		if !t.IsWaiting() || !s.mayRetry(j, t) || !o.IsUnblocked(j.Spec(), id.Step) || s.mustWaitAfterTakeover(j, id.Step, now) || j.Spec().Steps[id.Step].Gang {
 			continue
 		}
 		p := placement{scheduler: s, job: j, occurrence: o, step: id.Step, now: now}
