bwowner: the log tells how many jobs a count of pending jobs is taken from

Jobs count as started once a start is ordered. 2. The owner that is asked does not know the jobs, or looks for those of another queue. No line told what was counted. Change: "pending jobs counted" names the queue, the pending and the active jobs. Hypothesis 1 predicts pending=0 active=6 after refused starts, hypothesis 2 active=0.

--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -286,7 +286,9 @@
 	if _, ok := o.checkServing(); !ok {
 		return 0, false
 	}
-	return o.scheduler.CountPendingJobs(q), true
+	pending, active := o.scheduler.CountPendingJobs(q), o.scheduler.CountActiveJobs(q)
+	o.log.Info("pending jobs counted", "queue", q.Name, "pending", pending, "active", active)
+	return pending, true
 }
 
 // Survey summarizes the pool's state for the host coordinator (package bwmaintenance). It
