bwjob: a job has started when a run is known to have begun

Cause: Job.Assign marked the job as started when a start was ordered, and nothing took that back. A new owner took a crash during a run that was never confirmed for a start too.

Evidence: "pending jobs counted" pending=0 active=6 at all three nodes, after 48 times "order not accepted" result=unhealthy.

Change: a job has started once an executor has accepted a start, or has listed a run or its end. The record says so, so that a new owner knows it; from records of the landed version, which don't, it is read as before.

Why this works: an order changes the assignment only; what has happened is recorded by the three functions that learn of it.

--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -45,7 +45,8 @@
 	occurrences         map[int]*Occurrence
 	finishedOccurrences map[int]bool
 	nextOccurrence      int
-	hasStarted          bool
+	// hasStarted is set once a run of a task is known to have begun.
+	hasStarted bool
 }
 
 // New returns a job that was accepted at the given time.
@@ -81,7 +82,7 @@
 // AcceptedAt returns when the job was accepted.
 func (j *Job) AcceptedAt() bwclock.Time { return j.acceptedAt }
 
-// HasStarted reports whether a task of the job was ever assigned or has ended.
+// HasStarted reports whether a run of a task is known to have begun.
 func (j *Job) HasStarted() bool { return j.hasStarted }
 
 // OpenDue opens the occurrences that are due at now, so that their tasks can be placed.
@@ -203,9 +204,12 @@
 	}
 	t.executor = executor
 	t.run = max(t.run, run)
-	j.hasStarted = true
 }
 
+// MarkStarted records that a run of a task has begun: an executor has confirmed the start, or has
+// listed the run or its end.
+func (j *Job) MarkStarted() { j.hasStarted = true }
+
 // Release removes the assignment of a task to the executor, which no longer runs it.
 func (j *Job) Release(id TaskID, executor string) {
 	t := j.Task(id)
--- a/bwjob/job_test.go
+++ b/bwjob/job_test.go
@@ -1,11 +1,13 @@
 package bwjob_test
 
 import (
+	"encoding/base64"
 	"fmt"
 	"testing"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -248,3 +250,22 @@
 		_ = err
 	})
 }
+
+// Guards against a record of an earlier version that loses what it says. Such a record lacks the queue
+// that accepted the job and whether a run has begun.
+func TestRecordOfAnEarlierVersionIsRead(t *testing.T) {
+	const record = "CgNqb2ISAXEaAXAiCAgCEPQDKOgHQMCEPVoUEhIiAQEoAToBAkIICAMSAmUxGAc="
+	data, err := base64.StdEncoding.DecodeString(record)
+	assert.NilError(t, err)
+	j, err := bwjob.Decode(data)
+	assert.NilError(t, err)
+	assert.Assert(t, j.IsActive() && j.HasStarted())
+	assert.Assert(t, j.IsOf(bwfleet.Queue{Name: "q"}) && !j.IsOf(bwfleet.Queue{Name: "other"}))
+	assert.Equal(t, j.Spec().AcceptedBy, bwfleet.Queue{})
+	task := bwjob.TaskID{Job: "job"}
+	assert.Assert(t, j.HasFailed(task, 1) && !j.HasFailed(task, 3))
+	assert.Equal(t, j.Task(task).Crashes(), 1)
+	p, ok := j.Task(task).Probation()
+	assert.Assert(t, ok)
+	assert.Equal(t, p, bwjob.Probation{Run: 3, Executor: "e1", Incarnation: 7})
+}
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -20,6 +20,7 @@
 		IntervalMillis: j.spec.Interval.Milliseconds(),
 		AcceptedMillis: j.acceptedAt.Millis(),
 		Phase:          j.phase,
+		Started:        proto.Bool(j.hasStarted),
 		AcceptedBy:     toQueueRecord(j.spec.AcceptedBy),
 	}
 	for _, s := range j.spec.Steps {
@@ -70,6 +71,9 @@
 	for _, o := range r.GetOccurrences() {
 		j.restoreOccurrence(o)
 	}
+	if r.Started != nil {
+		j.hasStarted = r.GetStarted()
+	}
 	return j, nil
 }
 
@@ -92,6 +96,7 @@
 			t.run = max(t.run, int(run))
 		}
 		t.checkpoint = tr.GetCheckpoint()
+		// An earlier version stores only tasks of which a run has ended or was lost in a crash.
 		j.hasStarted = true
 		if step := j.spec.Steps[tr.GetStep()]; step.LongRunning && !step.Gang && t.isLikelyCause(Crash{}, step) {
 			j.giveUp(TaskID{Occurrence: o.index, Step: int(tr.GetStep()), Index: int(tr.GetIndex())})
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -98,6 +98,7 @@
 	}
 	_, isQueueKnown := s.settingsOf(j)
 	j.OpenThrough(end.Task.Occurrence)
+	j.MarkStarted()
 	s.recordOutcome(e, j, end, now)
 	s.log.Info("run ended", append([]any{"job", end.Task.Job, "task", end.Task, "run", end.Run, "executor", e.ID(),
 		"how", end.Kind.String(), "queue", j.Spec().Queue, "isQueueKnown", isQueueKnown, "maxAttempts", s.maxAttempts(j)}, s.availability(end.Task, now)...)...)
@@ -155,7 +156,11 @@
 		r.Phase = bwexecutor.Running
 		s.log.Info("indeterminate run is listed as running", "job", r.Task.Job, "task", r.Task, "run", r.Number, "executor", e.ID())
 	}
-	if j := s.jobs[status.Task.Job]; j != nil && j.IsActive() && !r.IsOrphaned {
+	j := s.jobs[status.Task.Job]
+	if j != nil {
+		j.MarkStarted()
+	}
+	if j != nil && j.IsActive() && !r.IsOrphaned {
 		j.SaveCheckpoint(status.Task, status.Run, status.Checkpoint)
 		s.forgetCrashes(j, r, now)
 	}
--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -50,6 +50,9 @@
 		r.Phase = bwexecutor.Running
 	}
 	r.ConfirmedAt = now
+	if j := s.jobs[r.Task.Job]; j != nil {
+		j.MarkStarted()
+	}
 	if r.IsOrphaned {
 		s.stopRun(e, r, now, "job ended while the task was started")
 	}
