bwschedule: a refused start leaves no trace of a run

A job could fail, or a task of a lasting job be given up, by crashes under runs that never existed.

Cause: the start of a suspect task is stored when it is ordered, so that a new owner recognizes the crash of the executor. A refusal left the entry in place. If the executor restarted later and the owner changed, the new owner recorded a crash for the refused run.

Evidence: TestRefusedStartIsNoCrash: 2 crashes after one, for four kinds of refusals.

Change: a refusal that proves that the start did not take effect removes the entry and stores that.

Result: the test failed before and passes.

--- a/bwjob/crash.go
+++ b/bwjob/crash.go
@@ -69,6 +69,17 @@
 	}
 }
 
+// EndProbation forgets the start of a run that did not take effect, and reports whether it was
+// recorded.
+func (j *Job) EndProbation(id TaskID, run int) bool {
+	t := j.Task(id)
+	if t == nil || t.probation.Run != run {
+		return false
+	}
+	t.probation = Probation{}
+	return true
+}
+
 // ForgetCrashes clears the suspicion against a task that has worked for a long time. It reports
 // whether there was one.
 func (j *Job) ForgetCrashes(id TaskID) bool {
--- a/bwschedule/pending_test.go
+++ b/bwschedule/pending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"basilwood.example/basilwood/bwexecutor"
 	"basilwood.example/basilwood/bwfleet"
@@ -105,3 +106,26 @@
 	assert.NilError(t, err)
 	assert.Assert(t, j.HasStarted())
 }
+
+// Guards against a refused start that a new owner takes for a run that its executor has lost in a crash.
+func TestRefusedStartIsNoCrash(t *testing.T) {
+	for name, result := range map[string]bwschedule.Result{
+		"unhealthy": bwschedule.Unhealthy, "unsent": bwschedule.NotSent, "too old": bwschedule.RunTooOld, "other incarnation": bwschedule.OtherIncarnation,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			j := h.submit("j", newStep(1000, 1))
+			h.crash(h.scheduleStarts()[0].Executor)
+			assert.Equal(t, j.Task(bwjob.TaskID{Job: "j"}).Crashes(), 1)
+			h.advance(time.Second)
+			h.reportAll()
+			orders := h.s.Schedule(h.now)
+			assert.Equal(t, len(orders), 1)
+			h.s.HandleResult(orders[0], result, h.now)
+			assert.Assert(t, h.s.NeedsFlush())
+			h.crash(orders[0].Executor)
+			n := h.handOver("j")
+			assert.Equal(t, n.s.Job("j").Task(bwjob.TaskID{Job: "j"}).Crashes(), 1)
+		})
+	}
+}
--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -69,6 +69,10 @@
 		j.SkipRunsThrough(r.Task, r.Number+takeoverRunGap)
 	}
 	s.releaseRun(e, r)
+	if j != nil && j.EndProbation(r.Task, r.Number) {
+		s.dirty[j.ID()] = true
+		s.suspects.hasUnstored = true
+	}
 	switch result {
 	case Unhealthy, NotSent, OtherIncarnation, Invalid:
 		e.RecordFailure(now)
