bwowner: a submission that waits for another pool is not refused, and keeps its placement

Cause: if the owner of another pool that may hold the job did not answer, the submission was refused, which says that the job never runs; the other pool may have it. And the placement of a queue that has left could be removed while a late submission of it was on its way to the store. Change: the outcome of such a submission is unknown, so that the caller sends it again. A placement stays while a job of its queue is being submitted. The decoding of placements has a function of its own, and SetQueues is back in owner.go.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -33,15 +33,8 @@
 	items, _ := n.nodeKeys.Items()
 	var members []bwownership.Member
 	owners := make(map[string]bwownership.Owner)
-	var placed []bwfleet.Placement
 	for key, item := range items {
 		if strings.HasPrefix(key, prefixPlacements) {
-			var p bwfleet.Placement
-			if err := json.Unmarshal(item.Value, &p); err != nil {
-				n.log.Error("failed to decode a placement", "key", key, "error", err.Error())
-				continue
-			}
-			placed = append(placed, p)
 			continue
 		}
 		var v keyValue
@@ -55,7 +48,7 @@
 			members = append(members, bwownership.Member{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, Cores: v.Cores})
 		}
 	}
-	n.placements.set(placed)
+	n.placements.set(n.decodePlacements(items))
 	n.mu.Lock()
 	n.view.SetMembers(members, n.deps.Clock.Now())
 	n.view.SetOwners(owners, n.deps.Clock.Now())
@@ -67,6 +60,22 @@
 	n.claimRoles()
 }
 
+func (n *Node) decodePlacements(items map[string]bwkv.Item) []bwfleet.Placement {
+	var list []bwfleet.Placement
+	for key, item := range items {
+		if !strings.HasPrefix(key, prefixPlacements) {
+			continue
+		}
+		var p bwfleet.Placement
+		if err := json.Unmarshal(item.Value, &p); err != nil {
+			n.log.Error("failed to decode a placement", "key", key, "error", err.Error())
+			continue
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
 // replacedRoles returns the roles that run in this process although their key has been removed
 // or has another revision. The caller must hold n.mu.
 func (n *Node) replacedRoles(owners map[string]bwownership.Owner) map[string]role {
--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -49,6 +49,10 @@
 	return reply
 }
 
+// poolCall sends a request about a job to the owner of a pool. It returns the reply and the address that
+// was asked, which is empty for this node.
+type poolCall func(ctx context.Context, pool string) (bwowner.Reply, string)
+
 // State returns the state of a job.
 func (n *Node) State(ctx context.Context, q bwfleet.Queue, id string) bwowner.Reply {
 	return n.askPools(ctx, "state", q, id, func(ctx context.Context, pool string) (bwowner.Reply, string) {
@@ -56,8 +60,7 @@
 	})
 }
 
-// stateIn returns the state of a job in a pool and the address that was asked, which is empty for this
-// node. claimingPool is empty, or the pool whose owner accepts the job if it is absent.
+// stateIn is the poolCall of State. claimingPool is empty, or the pool whose owner accepts the job if it is absent.
 func (n *Node) stateIn(ctx context.Context, pool string, q bwfleet.Queue, id, claimingPool string) (bwowner.Reply, string) {
 	o, address := n.ownerOf(pool)
 	switch {
@@ -99,8 +102,7 @@
 // pools that may hold jobs of the queue. It returns the reply of the owner that knows the job. Without
 // one it returns the reply that claims least: the job is absent only if no owner knows it and the
 // placements were read recently.
-func (n *Node) askPools(ctx context.Context, call string, q bwfleet.Queue, id string,
-	ask func(ctx context.Context, pool string) (bwowner.Reply, string)) bwowner.Reply {
+func (n *Node) askPools(ctx context.Context, call string, q bwfleet.Queue, id string, ask poolCall) bwowner.Reply {
 	others := bwfleet.OtherPools(n.placements.all(), q)
 	if len(others) == 0 {
 		reply, address := ask(ctx, q.Pool)
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -367,6 +367,20 @@
 	}()
 }
 
+// SetQueues updates the configured queues. Those whose tasks run in other pools may have left jobs in
+// this one.
+func (o *Owner) SetQueues(queues []bwfleet.Queue) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.routed = make(map[string]bool, len(queues))
+	for _, q := range queues {
+		if q.Pool == o.ownership.Pool {
+			o.routed[q.Name] = true
+		}
+	}
+	o.scheduler.SetQueues(queues)
+}
+
 // SetExecutors replaces the list of the pool's registered executors.
 func (o *Owner) SetExecutors(list []bwexecutor.Registration) {
 	o.mu.Lock()
--- a/bwowner/placements.go
+++ b/bwowner/placements.go
@@ -26,20 +26,6 @@
 	at   bwclock.Time
 }
 
-// SetQueues updates the configured queues. Those whose tasks run in other pools may have left jobs in
-// this one.
-func (o *Owner) SetQueues(queues []bwfleet.Queue) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.routed = make(map[string]bool, len(queues))
-	for _, q := range queues {
-		if q.Pool == o.ownership.Pool {
-			o.routed[q.Name] = true
-		}
-	}
-	o.scheduler.SetQueues(queues)
-}
-
 // otherPools returns the pools that may know the job besides this one. The caller holds the lock.
 func (o *Owner) otherPools(spec *bwjob.Spec) []string {
 	q := spec.AcceptedBy
@@ -53,23 +39,23 @@
 
 // askOtherPools asks the owners of other pools for a job, and stores it if all of them reply that it
 // is absent.
-func (o *Owner) askOtherPools(j *bwjob.Job, s *submission, pools []string) {
-	reply := o.findInPools(j, pools)
+func (o *Owner) askOtherPools(s *submission, pools []string) {
+	reply := o.findInPools(s.job, pools)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if reply.Verdict == Absent {
 		var ok bool
 		if reply, ok = o.checkServing(); ok {
-			delete(o.yielded, j.ID())
-			o.storeSubmission(j, s)
+			delete(o.yielded, s.job.ID())
+			o.storeSubmission(s)
 			return
 		}
 	}
-	o.completeSubmission(j, s, reply)
+	o.completeSubmission(s, reply)
 }
 
-// findInPools returns OK if the owner of a pool knows the job, Absent if none does, and Refused if that
-// is not certain.
+// findInPools returns OK if the owner of a pool knows the job, Absent if none does, and Unknown if that
+// is not certain: a refusal would say that the job never runs.
 func (o *Owner) findInPools(j *bwjob.Job, pools []string) Reply {
 	ctx, cancel := context.WithTimeout(o.ctx, askTimeout)
 	defer cancel()
@@ -82,7 +68,7 @@
 			return Reply{Verdict: OK, Reason: "known in pool " + pool}
 		case Absent:
 		default:
-			return Reply{Verdict: Refused, Reason: "pool " + pool + " may know the job", RetryAfter: ShortRetryDelay}
+			return Reply{Verdict: Unknown, Reason: "pool " + pool + " may know the job"}
 		}
 	}
 	return Reply{Verdict: Absent}
@@ -147,7 +133,7 @@
 // which the pool holds no job any more. The caller holds the lock.
 func (o *Owner) sweepPlacements() {
 	for _, p := range o.deps.Placements() {
-		if p.Pool != o.ownership.Pool || o.routed[p.Queue] || o.scheduler.HasJobsOf(p.Queue) {
+		if p.Pool != o.ownership.Pool || o.routed[p.Queue] || o.hasJobsOf(p.Queue) {
 			continue
 		}
 		o.placed[p.Queue] = false
@@ -156,6 +142,17 @@
 	}
 }
 
+// hasJobsOf reports whether the pool holds or is about to hold a job of a queue. The caller holds the
+// lock.
+func (o *Owner) hasJobsOf(queue string) bool {
+	for _, s := range o.pendingSubmissions {
+		if s.job.Spec().Queue == queue {
+			return true
+		}
+	}
+	return o.scheduler.HasJobsOf(queue)
+}
+
 // sweepYielded forgets the jobs that were left to other pools long ago. The caller holds the lock.
 func (o *Owner) sweepYielded(now bwclock.Time) {
 	for id, y := range o.yielded {
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -69,8 +69,9 @@
 // submission is a submitted job whose record is being stored. reply is set before done is
 // closed.
 type submission struct {
-	done   chan struct{}
+	job    *bwjob.Job
 	record []byte
+	done   chan struct{}
 	reply  Reply
 }
 
@@ -116,26 +117,27 @@
 		o.log.Error("cannot encode job record", "job", spec.ID, "error", err.Error())
 		return nil, Reply{Verdict: Refused, Reason: "job cannot be encoded", RetryAfter: storeRetryDelay}
 	}
-	s := &submission{done: make(chan struct{}), record: value}
+	s := &submission{job: j, record: value, done: make(chan struct{})}
 	o.pendingSubmissions[spec.ID] = s
 	if pools := o.otherPools(spec); len(pools) > 0 {
 		o.group.Add(1)
 		go func() {
 			defer o.group.Done()
-			o.askOtherPools(j, s, pools)
+			o.askOtherPools(s, pools)
 		}()
 		return s, Reply{}
 	}
-	o.storeSubmission(j, s)
+	o.storeSubmission(s)
 	return s, Reply{}
 }
 
 // storeSubmission queues the write of a new job's record. The caller holds the lock.
-func (o *Owner) storeSubmission(j *bwjob.Job, s *submission) {
-	o.committer.Add(append(o.placementWrites(j.Spec()), bwcommit.Write{
-		Key: JobPrefix(o.ownership.Pool) + j.ID(), Value: s.record, CanReject: true, Done: func(outcome bwcommit.WriteOutcome) {
-			o.finishSubmission(j, s, outcome)
-		},
+func (o *Owner) storeSubmission(s *submission) {
+	o.committer.Add(append(o.placementWrites(s.job.Spec()), bwcommit.Write{
+		Key:       JobPrefix(o.ownership.Pool) + s.job.ID(),
+		Value:     s.record,
+		CanReject: true,
+		Done:      func(outcome bwcommit.WriteOutcome) { o.finishSubmission(s, outcome) },
 	})...)
 }
 
@@ -149,22 +151,23 @@
 
 // finishSubmission completes a submission: it hands a stored job to the scheduler and sets
 // the reply according to the outcome of the write.
-func (o *Owner) finishSubmission(j *bwjob.Job, s *submission, outcome bwcommit.WriteOutcome) {
+func (o *Owner) finishSubmission(s *submission, outcome bwcommit.WriteOutcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch outcome {
 	case bwcommit.Stored:
-		o.scheduler.Submit(j)
-		o.completeSubmission(j, s, Reply{Verdict: OK})
+		o.scheduler.Submit(s.job)
+		o.completeSubmission(s, Reply{Verdict: OK})
 	case bwcommit.NotStored:
-		o.completeSubmission(j, s, Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay})
+		o.completeSubmission(s, Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay})
 	default:
-		o.completeSubmission(j, s, Reply{Verdict: Unknown, Reason: "the store has not answered"})
+		o.completeSubmission(s, Reply{Verdict: Unknown, Reason: "the store has not answered"})
 	}
 }
 
 // completeSubmission ends a submission with a reply. The caller holds the lock.
-func (o *Owner) completeSubmission(j *bwjob.Job, s *submission, reply Reply) {
+func (o *Owner) completeSubmission(s *submission, reply Reply) {
+	j := s.job
 	delete(o.pendingSubmissions, j.ID())
 	s.reply = reply
 	o.log.Info("job submitted", "job", j.ID(), "queue", j.Spec().Queue, "verdict", reply.Verdict.String(),
@@ -286,7 +289,8 @@
 	if _, ok := o.checkServing(); !ok {
 		return 0, false
 	}
-	pending, active := o.scheduler.CountPendingJobs(q), o.scheduler.CountActiveJobs(q)
+	pending := o.scheduler.CountPendingJobs(q)
+	_, active := o.scheduler.CountJobs()
 	o.log.Info("pending jobs counted", "queue", q.Name, "pending", pending, "active", active)
 	return pending, true
 }
