--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -181,17 +181,6 @@
 	return n
 }
 
-// CountActiveJobs returns the number of active jobs of a queue without scheduled occurrences.
-func (s *Scheduler) CountActiveJobs(q bwfleet.Queue) int {
-	n := 0
-	for _, j := range s.active {
-		if j.IsOf(q) && j.Spec().ScheduledOccurrences == 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // TakeDirty returns the jobs whose records have changed since the last call.
 func (s *Scheduler) TakeDirty() []*bwjob.Job {
 	jobs := make([]*bwjob.Job, 0, len(s.dirty))
