--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -59,8 +59,7 @@
 	}
 }
 
-// Spec returns the job as it was submitted. A job that has ended keeps only its ID and
-// queue.
+// Spec returns the job as it was submitted. A job that has ended keeps only its ID and queue.
 func (j *Job) Spec() *Spec { return j.spec }
 
 // ID returns the job's ID.
--- a/bwschedule/queue.go
+++ b/bwschedule/queue.go
@@ -36,8 +36,8 @@
 	return q, q.MaxAttempts > 0
 }
 
-// maxAttempts returns how many failed runs of a task fail the job, which is no number if the settings
-// of its queue are not known.
+// maxAttempts returns how many failed runs of a task fail the job, or math.MaxInt if the settings of its
+// queue are not known.
 func (s *Scheduler) maxAttempts(j *bwjob.Job) int {
 	q, isKnown := s.settingsOf(j)
 	if !isKnown {
@@ -53,8 +53,8 @@
 	return isKnown || t.Failures() == 0
 }
 
-// failExhaustedJobs fails the jobs of queues that have become known whose tasks have failed as often as
-// the queue allows.
+// failExhaustedJobs fails the jobs of queues that have become known if a task has failed as often as its
+// queue allows. Failed runs decide nothing while the settings of the queue are not known.
 func (s *Scheduler) failExhaustedJobs(now bwclock.Time) {
 	if len(s.newQueues) == 0 {
 		return
