bwnode: random clusters for moved queues and for suspect tasks

Change: clusters whose queues move between pools while submissions are repeated and faults come, and clusters whose tasks fail and lose executors while owners change.

--- a/bwnode/crash_test.go
+++ b/bwnode/crash_test.go
@@ -147,3 +147,36 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice because an owner is replaced while tasks work that have failed and
+// have lost executors in crashes.
+func TestSuspectTasksRunOnceAcrossHandOvers(t *testing.T) {
+	for seed := firstSeed(t); seed < firstSeed(t)+20; seed++ {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, seed, 3, 5)
+				defer c.close()
+				c.queues[0].MaxAttempts, c.queues[1].MaxAttempts = 20, 20
+				c.setQueues(c.queues...)
+				c.executors.SetFailureRatio(0.4)
+				accepted := make(map[string]bwfleet.Queue)
+				for n := range 30 {
+					q, spec := c.randomJob(n)
+					if c.submit(q, spec) == bwowner.OK {
+						accepted[spec.ID] = q
+					}
+					executors := c.executors.Registrations()
+					switch c.rng.IntN(3) {
+					case 0:
+						c.register(c.executors.Restart(executors[c.rng.IntN(len(executors))].ID))
+					case 1:
+						c.stop(c.rng.IntN(len(c.nodes)))
+					}
+					time.Sleep(time.Duration(c.rng.IntN(1500)) * time.Millisecond)
+				}
+				c.executors.SetFailureRatio(0)
+				c.checkSettled(accepted)
+			})
+		})
+	}
+}
--- a/bwnode/moved_queue_test.go
+++ b/bwnode/moved_queue_test.go
@@ -289,3 +289,61 @@
 		assert.Equal(t, c.state(moved, "short").Verdict, bwowner.Absent)
 	})
 }
+
+// Guards against jobs that are lost or run twice while queues move between pools, submissions come
+// again and the faults of the other cluster tests occur.
+func TestClusterKeepsGuaranteesWhileQueuesMove(t *testing.T) {
+	for seed := firstSeed(t); seed < firstSeed(t)+20; seed++ {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, seed, 3, 4)
+				defer func() {
+					c.close()
+					if t.Failed() && testing.Verbose() {
+						t.Log(c.logs.String())
+					}
+				}()
+				time.Sleep(visibleTime)
+				c.runWhileQueuesMove(40, 10)
+			})
+		})
+	}
+}
+
+// runWhileQueuesMove submits jobs, and some of them again, while queues move and faults are injected.
+func (c *cluster) runWhileQueuesMove(jobs, faults int) {
+	pools := []string{"desk", "lab"}
+	var submitted []*bwjob.Spec
+	current := func(name string) bwfleet.Queue {
+		for _, q := range c.queues {
+			if q.Name == name {
+				return q
+			}
+		}
+		c.t.Fatalf("no queue %q", name)
+		return bwfleet.Queue{}
+	}
+	for n := range jobs {
+		if n%4 == 3 {
+			c.queues[c.rng.IntN(len(c.queues))].Pool = pools[c.rng.IntN(len(pools))]
+			c.setQueues(c.queues...)
+		}
+		if n%(jobs/faults) == 0 {
+			c.injectFault()
+		}
+		q, spec := c.randomJob(n)
+		if c.submit(q, spec) == bwowner.OK {
+			submitted = append(submitted, spec)
+		}
+		if len(submitted) > 0 {
+			repeated := *submitted[c.rng.IntN(len(submitted))]
+			c.submit(current(repeated.Queue), &repeated)
+		}
+		time.Sleep(time.Duration(c.rng.IntN(600)) * time.Millisecond)
+	}
+	accepted := make(map[string]bwfleet.Queue)
+	for _, spec := range submitted {
+		accepted[spec.ID] = current(spec.Queue)
+	}
+	c.checkSettled(accepted)
+}
