bwnode: a pool with jobs of an earlier version has an owner without a queue

What callers would see: jobs that the landed version had accepted stood still, and were accepted and run again after their queue came back for another service.

Cause: the placements of records of the landed version are written when an owner of this version loads them. A pool that has lost its last queue before that gets no owner, so no placement either.

Change: a node lists once, at its start, the pools that have had an owner and hold jobs but have no placement. They need an owner too.

Why this works: such a pool has a sequence key, which every owner writes, and its records. Its new owner loads them as always and stores the placements.

Result: TestPoolOfAnEarlierVersionHasAnOwnerWithoutAQueue failed before (no run works) and passes; the tests of bwnode pass.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -135,6 +135,7 @@
 // caller must hold n.mu.
 func (n *Node) poolNames() []string {
 	names := append(n.configuration.PoolsWithQueues(), n.placements.pools()...)
+	names = append(names, n.earlierPools...)
 	slices.Sort(names)
 	return slices.Compact(names)
 }
--- a/bwnode/moved_queue_test.go
+++ b/bwnode/moved_queue_test.go
@@ -223,6 +223,33 @@
 	})
 }
 
+// Guards against jobs of an earlier version whose pool gets no owner, because the configuration sends no
+// queue to it when the nodes start.
+func TestPoolOfAnEarlierVersionHasAnOwnerWithoutAQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 3, 4)
+		defer c.close()
+		spec := &bwjob.Spec{ID: "old", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
+		c.executors.RegisterJob(spec)
+		record, err := bwjob.New(spec, bwclock.Time(time.Now().UnixMilli())).Encode()
+		assert.NilError(t, err)
+		c.kv.Put(bwowner.JobPrefix("desk")+"old", record)
+		c.kv.Put("sequences/desk", []byte("1.1"))
+		c.setQueues(c.queues[1])
+		time.Sleep(visibleTime)
+		assert.Equal(t, c.executors.Running(), 1)
+		moved := c.queues[0]
+		moved.Pool = "lab"
+		c.setQueues(c.queues[1], moved)
+		assert.Equal(t, c.state(moved, "old").Verdict, bwowner.OK)
+		assert.Equal(t, c.submit(moved, spec), bwowner.OK)
+		assert.Assert(t, !c.hasRecord("lab", "old"))
+		time.Sleep(40 * time.Second)
+		assert.Equal(t, c.state(moved, "old").State, bwowner.Done)
+		assert.Equal(t, len(c.executors.Violations()), 0, "%v", c.executors.Violations())
+	})
+}
+
 // Guards against a job that two pools accept, because nodes follow different versions of the
 // configuration or because a submission arrives late.
 func TestOnlyOnePoolAcceptsAJob(t *testing.T) {
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -139,15 +139,17 @@
 	// executors' mirror uses it.
 	decodedExecutors map[string]bwexecutor.Registration
 
-	mu                 sync.Mutex
-	ctx                context.Context
-	configuration      *bwfleet.Configuration
-	view               *bwownership.View
-	calls              *callTracker
-	roles              map[string]role
-	claiming           map[string]bool
-	pinging            map[string]bool
-	registrations      map[string][]bwexecutor.Registration
+	mu            sync.Mutex
+	ctx           context.Context
+	configuration *bwfleet.Configuration
+	view          *bwownership.View
+	calls         *callTracker
+	roles         map[string]role
+	claiming      map[string]bool
+	pinging       map[string]bool
+	registrations map[string][]bwexecutor.Registration
+	// earlierPools holds the pools with jobs of a version that stored no placements.
+	earlierPools       []string
 	isReadingExecutors bool
 	isStopping         bool
 }
@@ -215,6 +217,7 @@
 	n.spawn(func() { n.lease.run(ctx) })
 	n.spawn(func() { n.nodeKeys.Run(ctx) })
 	n.spawn(func() { n.operatorKeys.Run(ctx) })
+	n.spawn(func() { n.findEarlierPools(ctx) })
 	n.spawn(func() { n.runPeriodically(ctx, claimInterval, n.claimRoles) })
 	n.spawn(func() { n.runPeriodically(ctx, bwownership.PingInterval, n.pingOwners) })
 	n.spawn(func() { n.runPeriodically(ctx, bwownership.PingInterval, n.shedLoad) })
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -33,7 +33,10 @@
 // JobPrefix returns the key prefix of a pool's job records.
 func JobPrefix(pool string) string { return "jobs/" + pool + "/" }
 
-func sequenceKey(pool string) string { return "sequences/" + pool }
+// SequencePrefix is the prefix of the sequence keys of all pools, which end with the pool's name.
+const SequencePrefix = "sequences/"
+
+func sequenceKey(pool string) string { return SequencePrefix + pool }
 
 func executorListKey(pool string) string { return "executors/" + pool }
 
