--- a/bwnode/moved_queue_test.go
+++ b/bwnode/moved_queue_test.go
@@ -196,17 +196,23 @@
 	assert.Equal(t, len(c.executors.Violations()), 0, "%v", c.executors.Violations())
 }
 
+// storeEarlierJob stores a job of q-desk as a version without placements did.
+func (c *cluster) storeEarlierJob(id string) *bwjob.Spec {
+	spec := &bwjob.Spec{ID: id, Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
+	c.executors.RegisterJob(spec)
+	record, err := bwjob.New(spec, bwclock.Time(time.Now().UnixMilli())).Encode()
+	assert.NilError(c.t, err)
+	c.kv.Put(bwowner.JobPrefix("desk")+id, record)
+	return spec
+}
+
 // Guards against jobs of an earlier version, which stored no placements, that are absent once their
 // queue has moved.
 func TestJobsOfAnEarlierVersionAreFoundAfterTheirQueueHasMoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, 3, 4)
 		defer c.close()
-		spec := &bwjob.Spec{ID: "old", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
-		c.executors.RegisterJob(spec)
-		record, err := bwjob.New(spec, bwclock.Time(time.Now().UnixMilli())).Encode()
-		assert.NilError(t, err)
-		c.kv.Put(bwowner.JobPrefix("desk")+"old", record)
+		spec := c.storeEarlierJob("old")
 		time.Sleep(visibleTime)
 		moved := c.queues[0]
 		moved.Pool = "lab"
@@ -229,11 +235,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, 3, 4)
 		defer c.close()
-		spec := &bwjob.Spec{ID: "old", Queue: "q-desk", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
-		c.executors.RegisterJob(spec)
-		record, err := bwjob.New(spec, bwclock.Time(time.Now().UnixMilli())).Encode()
-		assert.NilError(t, err)
-		c.kv.Put(bwowner.JobPrefix("desk")+"old", record)
+		spec := c.storeEarlierJob("old")
 		c.kv.Put("sequences/desk", []byte("1.1"))
 		c.setQueues(c.queues[1])
 		time.Sleep(visibleTime)
