--- a/bwschedule/handover_test.go
+++ b/bwschedule/handover_test.go
@@ -204,3 +204,20 @@
 		assert.Equal(t, j.Phase(), bwjob.Phase_done)
 	}
 }
+
+// Guards against a run that loses its reservation because a new owner starts its task again on the same
+// executor, which refuses that.
+func TestCurrentRunKeepsItsReservationAfterRefusedStarts(t *testing.T) {
+	h := newHarness(t, 1)
+	o := h.startSuspect(&bwjob.Spec{ID: "j", Queue: "q", Steps: []bwjob.Step{newStep(1000, 1)}})[0]
+	n := h.handOver("j")
+	for range 3 {
+		for _, order := range n.s.Schedule(n.now) {
+			if order.Kind == bwschedule.Start {
+				n.s.HandleResult(order, bwschedule.RunTooOld, n.now)
+			}
+		}
+		assert.Equal(t, n.s.Executor(o.Executor).Free().CPU, int64(3000))
+		n.advance(10 * time.Millisecond)
+	}
+}
