bwschedule: a same_rack step goes to a rack that holds it, or to several

A job was never started although another rack had capacity for all of its tasks.

The step goes to the rack in which most of its tasks fit now.

--- a/bwjob/spec.go
+++ b/bwjob/spec.go
@@ -52,6 +52,20 @@
 	return need.CPU <= r.CPU && need.MemoryMB <= r.MemoryMB && need.Accelerators <= r.Accelerators
 }
 
+// CountFitting returns how many times need fits in r, at most limit.
+func (r Resources) CountFitting(need Resources, limit int) int {
+	n := int64(limit)
+	for _, amounts := range [...]struct{ free, need int64 }{{r.CPU, need.CPU}, {r.MemoryMB, need.MemoryMB}, {r.Accelerators, need.Accelerators}} {
+		if amounts.free < amounts.need {
+			return 0
+		}
+		if amounts.need > 0 {
+			n = min(n, amounts.free/amounts.need)
+		}
+	}
+	return int(n)
+}
+
 // Step is a number of identical tasks.
 type Step struct {
 	Count int
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -120,6 +120,9 @@
 	MaxStopTime time.Duration
 	// EndedJobRetention is how long the state of an ended job remains available to callers.
 	EndedJobRetention time.Duration
+	// CrossRackFactor is how many times longer the tasks of a step that should run in one rack take in
+	// several; 0 if it is not known.
+	CrossRackFactor float64
 }
 
 // Deps holds the dependencies of an Owner.
@@ -199,7 +202,7 @@
 		log:                log,
 		done:               make(chan struct{}),
 		passRequested:      make(chan bwclock.Time, 1),
-		scheduler:          bwschedule.New(log),
+		scheduler:          bwschedule.New(log, bwschedule.WithCrossRackFactor(settings.CrossRackFactor)),
 		sessions:           make(map[string]*session),
 		registrations:      make(map[string]bwexecutor.Registration),
 		pendingSubmissions: make(map[string]*submission),
--- a/bwschedule/gang.go
+++ b/bwschedule/gang.go
@@ -33,7 +33,7 @@
 		run = max(run, tasks[i].Run()+1)
 	}
 	for i, e := range chosen {
-		p.scheduler.startTask(p.job, p.taskID(i), e, run, p.now)
+		p.scheduler.startTask(p.job, p.taskID(i), e, run, p.now, p.rack.logFields(e)...)
 	}
 }
 
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -116,7 +116,7 @@
 			s.hasUnplacedTasks = true
 			continue
 		}
-		s.startTask(j, id, e, tasks[i].Run()+1, now)
+		s.startTask(j, id, e, tasks[i].Run()+1, now, p.rack.logFields(e)...)
 		p.countPlaced(e)
 	}
 }
@@ -133,8 +133,8 @@
 	return false
 }
 
-// startTask assigns a task to an executor and queues the start order.
-func (s *Scheduler) startTask(j *bwjob.Job, id bwjob.TaskID, e *bwexecutor.Executor, run int, now bwclock.Time) {
+// startTask assigns a task to an executor and queues the start order. The fields are added to the log.
+func (s *Scheduler) startTask(j *bwjob.Job, id bwjob.TaskID, e *bwexecutor.Executor, run int, now bwclock.Time, fields ...any) {
 	t := j.Task(id)
 	ticket, _ := s.advice.ticket(stepIDOf(id), e.ID(), now)
 	o := Order{Kind: Start, Executor: e.ID(), Task: id, Run: run, Payload: j.Spec().Payload, Checkpoint: t.Checkpoint(), Ticket: ticket}
@@ -144,8 +144,8 @@
 	}
 	e.Add(&bwexecutor.Run{Task: id, Number: run, Reserved: j.Spec().Steps[id.Step].Reserved(), OrderedAt: now, Pace: fullPace})
 	s.orders = append(s.orders, o)
-	s.log.Info("start ordered", "job", id.Job, "task", id, "run", run, "executor", e.ID(), "failures", t.Failures(),
-		"sinceAccepted", now.Sub(j.AcceptedAt()).String(), "reportAge", now.Sub(e.ReportedAt()).String())
+	s.log.Info("start ordered", append([]any{"job", id.Job, "task", id, "run", run, "executor", e.ID(), "failures", t.Failures(),
+		"sinceAccepted", now.Sub(j.AcceptedAt()).String(), "reportAge", now.Sub(e.ReportedAt()).String()}, fields...)...)
 }
 
 // placement chooses executors for the tasks of one step.
@@ -161,6 +161,8 @@
 	stepRunsByExecutor    map[string]int
 	stepRunsByRack        map[string]int
 	longRunningByExecutor map[string]int
+	// rack is set for a step whose tasks should run in one rack.
+	rack rackChoice
 }
 
 // eligible returns the executors that may run the step, regardless of their free capacity.
@@ -191,7 +193,7 @@
 // withTickets returns the executors for which the policy service has issued tickets, and
 // requests new tickets if needed.
 func (p *placement) withTickets(list []*bwexecutor.Executor) []*bwexecutor.Executor {
-	id := StepID{Job: p.job.ID(), Occurrence: p.occurrence.Index(), Step: p.step}
+	id := p.stepID()
 	var allowed []*bwexecutor.Executor
 	var ids []string
 	for _, e := range list {
@@ -206,40 +208,6 @@
 	return allowed
 }
 
-// withinOneRack returns the executors of the rack in which tasks of the step already run, or
-// else of the rack with the most free CPU.
-func (p *placement) withinOneRack(list []*bwexecutor.Executor) []*bwexecutor.Executor {
-	freeCPU := make(map[string]int64)
-	for _, e := range list {
-		freeCPU[e.Registration().Rack] += e.Free().CPU
-	}
-	best := p.currentRack()
-	if best == "" {
-		for _, e := range list {
-			rack := e.Registration().Rack
-			if best == "" || freeCPU[rack] > freeCPU[best] {
-				best = rack
-			}
-		}
-	}
-	var inRack []*bwexecutor.Executor
-	for _, e := range list {
-		if e.Registration().Rack == best {
-			inRack = append(inRack, e)
-		}
-	}
-	return inRack
-}
-
-func (p *placement) currentRack() string {
-	for _, t := range p.occurrence.Tasks(p.step) {
-		if e := p.scheduler.executors[t.Executor()]; e != nil && !t.IsDone() {
-			return e.Registration().Rack
-		}
-	}
-	return ""
-}
-
 // chooseExecutor returns the executor with the best score that has capacity for the task, or
 // nil.
 func (p *placement) chooseExecutor(t *bwjob.Task) *bwexecutor.Executor {
@@ -301,7 +269,7 @@
 		return
 	}
 	p.stepRunsByExecutor, p.stepRunsByRack, p.longRunningByExecutor = make(map[string]int), make(map[string]int), make(map[string]int)
-	thisStep := StepID{Job: p.job.ID(), Occurrence: p.occurrence.Index(), Step: p.step}
+	thisStep := p.stepID()
 	for id, e := range p.scheduler.executors {
 		for task, r := range e.Runs() {
 			if stepIDOf(task) == thisStep {
@@ -360,8 +328,8 @@
 	}
 }
 
-// score prefers executors without recent failures, then the rack that holds the task's
-// data, then (for long-running tasks) the preferred colocation, then the tightest fit,
+// score prefers executors without recent failures, then the racks that hold the task's
+// data and the other tasks of its step, then (for long-running tasks) the preferred colocation, then the tightest fit,
 // which leaves whole executors free. A single recent failure of an executor is ignored for
 // a task that has not failed yet.
 func (p *placement) score(e *bwexecutor.Executor, step bwjob.Step, t *bwjob.Task) score {
@@ -373,7 +341,10 @@
 		sc.failures += taskFailurePenalty
 	}
 	if step.DataRack != "" && e.Registration().Rack != step.DataRack {
-		sc.rackDistance = 1
+		sc.rackDistance++
+	}
+	if step.SameRack && e.Registration().Rack != p.rack.preferred {
+		sc.rackDistance++
 	}
 	switch {
 	case t.IsSuspect():
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -70,11 +70,28 @@
 	loaded map[string]bool
 	// suspects holds what is known of tasks under which executors have crashed.
 	suspects suspects
+	// crossRackFactor is how many times longer tasks take that should run in one rack and don't.
+	crossRackFactor float64
+	// rackWaits holds, by job, the steps that wait for capacity in one rack and since when.
+	rackWaits map[string]map[StepID]bwclock.Time
+}
+
+// Option configures a Scheduler.
+type Option func(*Scheduler)
+
+// WithCrossRackFactor sets how many times longer the tasks of a step that should run in one rack take
+// when they run in several. The default is 2. Factors below 1 are ignored.
+func WithCrossRackFactor(factor float64) Option {
+	return func(s *Scheduler) {
+		if factor >= 1 {
+			s.crossRackFactor = factor
+		}
+	}
 }
 
 // New returns a Scheduler without jobs or executors.
-func New(log hclog.Logger) *Scheduler {
-	return &Scheduler{
+func New(log hclog.Logger, options ...Option) *Scheduler {
+	s := &Scheduler{
 		log:       log,
 		queues:    make(map[string]bwfleet.Queue),
 		newQueues: make(map[string]bool),
@@ -86,9 +103,15 @@
 		loaded:    make(map[string]bool),
 		advice:    newAdviceCache(),
 		suspects:  newSuspects(),
+		rackWaits: make(map[string]map[StepID]bwclock.Time),
 
 		isCapacityKnown: true,
+		crossRackFactor: defaultCrossRackFactor,
+	}
+	for _, option := range options {
+		option(s)
 	}
+	return s
 }
 
 // SetQueues adds or replaces queues. Queues that are not in the list keep their settings.
@@ -336,6 +359,7 @@
 	}
 	delete(s.active, j.ID())
 	s.advice.removeJob(j.ID())
+	delete(s.rackWaits, j.ID())
 	s.log.Info("job ended", "job", j.ID(), "queue", j.Spec().Queue, "phase", j.Phase().String(),
 		"sinceAccepted", now.Sub(j.AcceptedAt()).String())
 	for _, id := range s.ExecutorIDs() {
--- a/bwschedule/suspect.go
+++ b/bwschedule/suspect.go
@@ -176,7 +176,7 @@
 			continue
 		}
 		s.suspects.isolated[id] = bwclock.Never
-		s.startTask(j, id, e, t.Run()+1, now)
+		s.startTask(j, id, e, t.Run()+1, now, p.rack.logFields(e)...)
 	}
 }
 
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -91,7 +91,12 @@
 		deps.Hosts = platform.NewHostClient(s.HostsAddress, s.Node, log)
 	}
 	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress, Cores: s.CPUCores}, bwnode.Settings{
-		Owner:              bwowner.Settings{LeaseLength: min(executorLease, s.MaxLeaseLength), MaxStopTime: s.MaxTaskStopTime, EndedJobRetention: s.EndedJobRetention},
+		Owner: bwowner.Settings{
+			LeaseLength:       min(executorLease, s.MaxLeaseLength),
+			MaxStopTime:       s.MaxTaskStopTime,
+			EndedJobRetention: s.EndedJobRetention,
+			CrossRackFactor:   s.CrossRackFactor,
+		},
 		Maintenance:        bwmaintenance.Settings{MaintenanceDuration: s.MaintenanceDuration, MoveDuration: s.MoveDuration},
 		MaxVisibilityDelay: s.MaxVisibilityDelay,
 		MaxCapacityDelay:   s.MaxCapacityDelay,
