bwschedule: an unanswered start of a lasting task is stopped within the disruption budget

The start may take effect between the report and the stop, which then ends a task at work while others are away (AVAIL).

The stop waits until the budget allows it, or until the executor refuses the start because its lease has run out. Stops that wait to be sent are dropped once their reason has gone, and a run that is being stopped no longer counts as available.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -62,6 +62,11 @@
 	StopOrderedAt bwclock.Time
 	// StopAcknowledgedAt is when the executor last acknowledged a stop of the run.
 	StopAcknowledgedAt bwclock.Time
+	// StartExpiresAt is the time on the executor's clock, in milliseconds, from which it refuses the
+	// start order; 0 if the order was not sent.
+	StartExpiresAt int64
+	// IsStopDeferred is set while the disruption budget of the step does not allow a stop.
+	IsStopDeferred bool
 }
 
 // Executor is the scheduler's view of one executor: its runs, lease, reports and failures.
@@ -267,11 +272,23 @@
 // HasLeaseExpired reports whether the lease is certain to have expired. Then nothing runs on
 // the executor, and no earlier start order can take effect any more.
 func (e *Executor) HasLeaseExpired(now bwclock.Time) bool {
+	return e.hasClockPassed(e.leaseEnd, now)
+}
+
+// HasStartExpired reports whether the executor is certain to refuse the start order of the run from
+// the given time on, if it has not executed it before.
+func (e *Executor) HasStartExpired(r *Run, at bwclock.Time) bool {
+	return r.StartExpiresAt > 0 && e.hasClockPassed(r.StartExpiresAt, at)
+}
+
+// hasClockPassed reports whether the executor's clock, in milliseconds, is certain to have passed a
+// time at the given local time.
+func (e *Executor) hasClockPassed(millis int64, at bwclock.Time) bool {
 	if e.clockReadAt == bwclock.Never {
 		return false
 	}
-	elapsed := now.Sub(e.clockReadAt).Milliseconds() * (100 - clockDriftPercent) / 100
-	return e.clockMillis+elapsed > e.leaseEnd+leaseExpiryMargin.Milliseconds()
+	elapsed := at.Sub(e.clockReadAt).Milliseconds() * (100 - clockDriftPercent) / 100
+	return e.clockMillis+elapsed > millis+leaseExpiryMargin.Milliseconds()
 }
 
 // MarkEndSeen reports whether the end with this number is new, and records it as seen.
--- a/bwnode/lasting_test.go
+++ b/bwnode/lasting_test.go
@@ -73,3 +73,36 @@
 		})
 	}
 }
+
+// Guards against a stop that ends a task at work although others of its step are unavailable: a start had
+// no answer, takes effect late, and is stopped because a report did not list it yet. Executors crash while
+// most orders are late, and owners are replaced meanwhile.
+func TestClusterKeepsLastingJobsAvailableWhileOrdersAreLate(t *testing.T) {
+	for seed := firstSeed(t); seed < firstSeed(t)+20; seed++ {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, seed, 3, 6)
+				defer c.close()
+				time.Sleep(3 * time.Second)
+				c.submitLastingJobs()
+				time.Sleep(3 * time.Second)
+				for range 8 {
+					c.executors.SetLateOrderRatio(0.6)
+					for range 1 + c.rng.IntN(3) {
+						c.register(c.executors.Restart(fmt.Sprintf("desk-%d", c.rng.IntN(6))))
+						time.Sleep(time.Duration(c.rng.IntN(2000)) * time.Millisecond)
+					}
+					if c.rng.IntN(3) == 0 {
+						c.kill(c.rng.IntN(len(c.nodes)))
+					}
+					time.Sleep(time.Duration(4000+c.rng.IntN(6000)) * time.Millisecond)
+					c.executors.SetLateOrderRatio(0)
+					time.Sleep(time.Duration(c.rng.IntN(6000)) * time.Millisecond)
+				}
+				c.settle()
+				assert.Equal(t, len(c.executors.Violations()), 0, "%v", c.executors.Violations())
+				assert.Equal(t, c.executors.Running(), lastingJobs*lastingTasks)
+			})
+		})
+	}
+}
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -163,6 +163,10 @@
 	if o.ctx.Err() != nil || s.ctx.Err() != nil {
 		return 0, bwschedule.NotSent
 	}
+	now := o.deps.Clock.Now()
+	if order.Kind == bwschedule.Stop && !o.scheduler.IsStopWanted(order, now) {
+		return 0, bwschedule.NotSent
+	}
 	if order.Kind != bwschedule.Start {
 		return 0, bwschedule.Accepted
 	}
@@ -174,10 +178,11 @@
 		// The capacity has shrunk since the task was placed.
 		return 0, bwschedule.InsufficientCapacity
 	}
-	leaseUntil, ok := e.ExtendLease(o.deps.Clock.Now(), o.settings.LeaseLength)
+	leaseUntil, ok := e.ExtendLease(now, o.settings.LeaseLength)
 	if !ok {
 		return 0, bwschedule.NotSent
 	}
+	o.scheduler.RecordStartLease(order, leaseUntil)
 	return leaseUntil, bwschedule.Accepted
 }
 
--- a/bwschedule/evict.go
+++ b/bwschedule/evict.go
@@ -71,7 +71,7 @@
 	if isDraining {
 		return !s.isEvictionInFlight(stepIDOf(r.Task), now)
 	}
-	return s.countUnavailable(step, r.Task, now) < max(1, step.DisruptionBudget)
+	return s.isWithinBudget(step, r.Task, now)
 }
 
 // isEvictionInFlight reports whether a stop of a task of the step on an executor that is not draining
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -244,7 +244,7 @@
 			s.log.Info("stopped run is not listed; releasing the task", "job", id.Job, "task", id, "run", r.Number, "executor", e.ID())
 			s.releaseRun(e, r)
 		case r.Phase == bwexecutor.Indeterminate && r.OrderedAt.Before(sentAt):
-			s.stopRun(e, r, now, "start had no answer")
+			s.settleStart(e, r, sentAt, now)
 		case r.Phase == bwexecutor.Running && r.ConfirmedAt != bwclock.Never && r.ConfirmedAt.Before(sentAt):
 			s.log.Warn("confirmed run is no longer listed; stopping it", "job", id.Job, "task", id, "run", r.Number, "executor", e.ID())
 			r.Phase = bwexecutor.Indeterminate
