bwjob: the tasks of one job are limited

Submissions are limited to 50,000 tasks, and so are the tasks of the open occurrences; stored jobs of earlier versions are still read.

TestTasksOfOneJobAreLimited fails before: Validate accepts the job.

--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -86,25 +86,35 @@
 
 // OpenDue opens the occurrences that are due at now, so that their tasks can be placed.
 func (j *Job) OpenDue(now bwclock.Time) {
-	for j.IsActive() && j.nextOccurrence < j.spec.OccurrenceCount() && !now.Before(j.spec.DueAt(j.nextOccurrence)) {
-		j.openNext()
+	for j.mayOpenNext() && !now.Before(j.spec.DueAt(j.nextOccurrence)) {
+		j.open(j.nextOccurrence)
+		j.nextOccurrence++
 	}
 }
 
-// OpenThrough opens the occurrences up to the given one regardless of their scheduled times.
-// It is used when an executor reports a task of the occurrence, which shows that a previous
-// owner has started it.
-func (j *Job) OpenThrough(occurrence int) {
-	for j.IsActive() && j.nextOccurrence <= occurrence && j.nextOccurrence < j.spec.OccurrenceCount() {
-		j.openNext()
+// mayOpenNext reports whether there is another occurrence, and the tasks of it and of the open ones are
+// at most MaxTasks.
+func (j *Job) mayOpenNext() bool {
+	if !j.IsActive() || j.nextOccurrence >= j.spec.OccurrenceCount() {
+		return false
+	}
+	isOpen := j.occurrences[j.nextOccurrence] != nil
+	return isOpen || len(j.occurrences) == 0 || (len(j.occurrences)+1)*j.spec.taskCount() <= MaxTasks
+}
+
+// OpenReported opens an occurrence of which an executor reports a task, which shows that a previous
+// owner has started it. Its other tasks become due with OpenDue.
+func (j *Job) OpenReported(occurrence int) {
+	if j.IsActive() && occurrence >= 0 && occurrence < j.spec.OccurrenceCount() {
+		j.open(occurrence)
 	}
 }
 
-func (j *Job) openNext() {
-	if !j.finishedOccurrences[j.nextOccurrence] && j.occurrences[j.nextOccurrence] == nil {
-		j.occurrences[j.nextOccurrence] = newOccurrence(j.spec, j.nextOccurrence)
+// open opens an occurrence unless it is open or finished.
+func (j *Job) open(occurrence int) {
+	if !j.finishedOccurrences[occurrence] && j.occurrences[occurrence] == nil {
+		j.occurrences[occurrence] = newOccurrence(j.spec, occurrence)
 	}
-	j.nextOccurrence++
 }
 
 func newOccurrence(spec *Spec, index int) *Occurrence {
--- a/bwjob/job_test.go
+++ b/bwjob/job_test.go
@@ -152,7 +152,7 @@
 		for _, reloaded := range []bool{false, true} {
 			j := bwjob.New(&bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{{Count: 2}}}, now)
 			j.OpenDue(now)
-			j.OpenThrough(0)
+			j.OpenReported(0)
 			for i, crash := range c.crashes {
 				crash.Run = i + 1
 				assert.Equal(t, j.RecordCrash(id, crash), true)
@@ -235,6 +235,39 @@
 	assert.Equal(t, spec.CriticalPath(), 3*time.Second)
 }
 
+// Guards against a small submission that takes the memory of a whole process: many wide steps, or many
+// wide occurrences that are due at once.
+func TestTasksOfOneJobAreLimited(t *testing.T) {
+	wide := &bwjob.Spec{ID: "job", Queue: "q"}
+	for range bwjob.MaxSteps {
+		wide.Steps = append(wide.Steps, bwjob.Step{Count: bwjob.MaxTasksPerStep})
+	}
+	assert.ErrorContains(t, wide.Validate(), "job has 4000000 tasks")
+	repeated := &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{{Count: bwjob.MaxTasksPerStep}}, ScheduledOccurrences: bwjob.MaxOccurrences, Interval: time.Millisecond}
+	assert.NilError(t, repeated.Validate())
+	j := bwjob.New(repeated, now)
+	countOpen := func() int {
+		j.OpenDue(now.Add(time.Hour))
+		n := 0
+		j.EachOpenOccurrence(func(*bwjob.Occurrence) { n++ })
+		return n
+	}
+	limit := bwjob.MaxTasks / bwjob.MaxTasksPerStep
+	assert.Equal(t, countOpen(), limit)
+	// The next occurrence opens when one has finished.
+	for i := range bwjob.MaxTasksPerStep {
+		j.RecordEnd(bwjob.End{Task: bwjob.TaskID{Job: "job", Index: i}, Run: 1, Kind: bwjob.EndDone}, 2)
+	}
+	assert.Equal(t, countOpen(), limit)
+	assert.Assert(t, j.Occurrence(0) == nil && j.Occurrence(limit) != nil)
+	// An end that an executor reports counts whatever the limit.
+	late := bwjob.TaskID{Job: "job", Occurrence: 100}
+	j.OpenReported(late.Occurrence)
+	assert.Assert(t, j.RecordEnd(bwjob.End{Task: late, Run: 1, Kind: bwjob.EndDone}, 2))
+	j.OpenReported(1 << 40)
+	assert.Assert(t, j.Occurrence(1<<40) == nil)
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := bwjob.New(&bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{{Count: 2}, {Count: 1, DependsOn: []int{0}}}}, now).Encode()
 	assert.NilError(f, err)
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -62,7 +62,7 @@
 		j.end(r.GetPhase())
 		return j, nil
 	}
-	if err := spec.Validate(); err != nil {
+	if err := spec.validateParts(); err != nil {
 		return nil, oops.In("bwjob").Wrapf(err, "stored job %q", spec.ID)
 	}
 	for _, k := range r.GetFinishedOccurrences() {
--- a/bwjob/spec.go
+++ b/bwjob/spec.go
@@ -20,6 +20,9 @@
 	MaxSteps        = 200
 	MaxTasksPerStep = 20000
 	MaxOccurrences  = 10000
+	// MaxTasks limits the tasks of all steps together, and those of the occurrences that are open at the
+	// same time: further occurrences open as earlier ones finish.
+	MaxTasks = 50000
 )
 
 // Resources is an amount of resources: the request of a task or the capacity of an executor.
@@ -157,6 +160,15 @@
 
 // Validate returns an error that describes the first invalid value of the submission.
 func (s *Spec) Validate() error {
+	if n := s.taskCount(); n > MaxTasks {
+		return fmt.Errorf("job has %d tasks, want at most %d", n, MaxTasks)
+	}
+	return s.validateParts()
+}
+
+// validateParts checks everything but the number of all tasks, of which earlier versions have accepted
+// more than MaxTasks.
+func (s *Spec) validateParts() error {
 	if s.ID == "" {
 		return fmt.Errorf("job has no id")
 	}
@@ -174,6 +186,15 @@
 	return nil
 }
 
+// taskCount returns the number of tasks of one occurrence.
+func (s *Spec) taskCount() int {
+	n := 0
+	for _, step := range s.Steps {
+		n += step.Count
+	}
+	return n
+}
+
 func (s Step) validate(index int) error {
 	if s.Count < 1 || s.Count > MaxTasksPerStep {
 		return fmt.Errorf("%d tasks, want 1 to %d", s.Count, MaxTasksPerStep)
--- a/bwschedule/availability.go
+++ b/bwschedule/availability.go
@@ -22,18 +22,17 @@
 
 // countUnavailable counts the other tasks of the step that are not known to be available.
 func (s *Scheduler) countUnavailable(step bwjob.Step, id bwjob.TaskID, now bwclock.Time) int {
+	o := s.jobs[id.Job].Occurrence(id.Occurrence)
+	if o == nil {
+		return 0
+	}
 	n := 0
-	s.jobs[id.Job].EachOpenOccurrence(func(o *bwjob.Occurrence) {
-		if o.Index() != id.Occurrence {
-			return
-		}
-		for i := range o.Tasks(id.Step) {
-			other := bwjob.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}
-			if i != id.Index && !s.isAvailable(&o.Tasks(id.Step)[i], other, step, now) {
-				n++
-			}
+	for i := range o.Tasks(id.Step) {
+		other := bwjob.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}
+		if i != id.Index && !s.isAvailable(&o.Tasks(id.Step)[i], other, step, now) {
+			n++
 		}
-	})
+	}
 	return n
 }
 
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -97,7 +97,7 @@
 		return
 	}
 	_, isQueueKnown := s.settingsOf(j)
-	j.OpenThrough(end.Task.Occurrence)
+	j.OpenReported(end.Task.Occurrence)
 	j.MarkStarted()
 	s.recordOutcome(e, j, end, now)
 	s.log.Info("run ended", append([]any{"job", end.Task.Job, "task", end.Task, "run", end.Run, "executor", e.ID(),
@@ -195,7 +195,7 @@
 	j := s.jobs[status.Task.Job]
 	var t *bwjob.Task
 	if j != nil && j.IsActive() {
-		j.OpenThrough(status.Task.Occurrence)
+		j.OpenReported(status.Task.Occurrence)
 		t = j.Task(status.Task)
 	}
 	if t == nil {
