bwpanic: an unexpected error ends one request or one role, not the process

An owner gives up its pool after a panic and the pool is loaded again; a call gets an error, a caller's request a 504. Each is logged with its place, id and stack, and counted in basilwood_panics_total.

Not covered: the mirrors and timers of a node, and basilwood-entry.

--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -16,7 +16,9 @@
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwmaintenance"
 	"basilwood.example/basilwood/bwowner"
+	"basilwood.example/basilwood/bwpanic"
 	"basilwood.example/basilwood/bwpeer"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 )
 
@@ -43,13 +45,27 @@
 // Close closes the idle connections.
 func (m *Mesh) Close() { m.connections.Close() }
 
-// Serve serves the calls of other nodes on l until ctx is done.
-func Serve(ctx context.Context, l net.Listener, s DRPCNodeServer) error {
+// Serve serves the calls of other nodes on l until ctx is done. A call that panics gets an error.
+func Serve(ctx context.Context, l net.Listener, s DRPCNodeServer, guard *bwpanic.Guard) error {
 	mux := drpcmux.New()
 	if err := DRPCRegisterNode(mux, s); err != nil {
 		return err
 	}
-	return bwpeer.ServeMux(ctx, l, mux)
+	return bwpeer.ServeMux(ctx, l, guardedHandler{Handler: mux, guard: guard})
+}
+
+// guardedHandler answers a call that panics with an error, so that the process and its other calls go on.
+type guardedHandler struct {
+	drpc.Handler
+	guard *bwpanic.Guard
+}
+
+// HandleRPC implements drpc.Handler.
+func (h guardedHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	if !h.guard.Run("call", func() { err = h.Handler.HandleRPC(stream, rpc) }, "rpc", rpc) {
+		return errors.New("unexpected error")
+	}
+	return err
 }
 
 // Ping returns a node's incarnation, its active pools and whether it reaches the store.
--- a/bwmesh/mesh_test.go
+++ b/bwmesh/mesh_test.go
@@ -36,7 +36,7 @@
 	listener := network.Listen(address)
 	go func() {
 		defer close(served)
-		_ = bwmesh.Serve(ctx, listener, n)
+		_ = bwmesh.Serve(ctx, listener, n, nil)
 	}()
 	mesh := bwmesh.New(network.Dialer("10.0.0.2"))
 	accepted := 0
@@ -76,3 +76,65 @@
 		assert.Assert(t, time.Since(startedAt) < 2*time.Second, "%s", time.Since(startedAt))
 	})
 }
+
+// panickingNode panics in its first submission.
+type panickingNode struct {
+	slowNode
+}
+
+func (n *panickingNode) Submit(ctx context.Context, r *bwmesh.JobRequest) (*bwmesh.JobReply, error) {
+	if n.calls.Load() == 0 {
+		n.calls.Add(1)
+		panic("unexpected")
+	}
+	return n.slowNode.Submit(ctx, r)
+}
+
+// Guards against one call that ends the process and all of its other calls.
+func TestCallThatPanicsEndsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := bwpipe.New()
+		n := &panickingNode{}
+		served := make(chan struct{})
+		listener := network.Listen(address)
+		go func() {
+			defer close(served)
+			_ = bwmesh.Serve(ctx, listener, n, nil)
+		}()
+		mesh := bwmesh.New(network.Dialer("10.0.0.2"))
+		reply := mesh.Submit(ctx, address, "pool", nil)
+		assert.Equal(t, reply.Verdict, bwowner.OK, reply.Reason)
+		assert.Equal(t, n.calls.Load(), int64(2))
+		mesh.Close()
+		cancel()
+		<-served
+	})
+}
+
+// A message that cannot be decoded, or that is larger than a node accepts, is answered with an error, and
+// the node goes on.
+func TestMalformedMessagesAreRejected(t *testing.T) {
+	for name, message := range map[string][]byte{
+		"random":    {0xff, 0xfe, 0x00, 0x17, 0x99, 0xab},
+		"truncated": {0x02, 0x01, 0x01, 0x40},
+		"huge":      append([]byte{0x02, 0x01, 0x01, 0xff, 0xff, 0xff, 0x7f}, make([]byte, 1<<20)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := bwpipe.New()
+				dial := network.DialContext("10.0.0.3")
+				n := &slowNode{}
+				time.AfterFunc(time.Millisecond, func() {
+					conn, err := dial(t.Context(), "tcp", address)
+					assert.Check(t, err)
+					_ = conn.SetDeadline(time.Now().Add(time.Second))
+					_, _ = conn.Write(message)
+					_ = conn.Close()
+				})
+				time.Sleep(0)
+				assert.Equal(t, submitRepeatedly(t, network, n, 20), 20)
+			})
+		})
+	}
+}
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -183,7 +183,11 @@
 	}
 	n.roles[c.Pool] = r
 	ctx := n.ctx
-	n.spawn(func() { r.Run(ctx) })
+	n.spawn(func() {
+		if !n.deps.Guard.Run("role", func() { r.Run(ctx) }, "owned", c.Pool, "fence", fence) {
+			n.roleLost(c.Pool, "unexpected error")
+		}
+	})
 }
 
 // newOwner returns the owner of a pool. The caller must hold n.mu.
@@ -205,6 +209,7 @@
 		Placements:           n.placements.all,
 		AskPool:              n.askPool,
 		OnLost:               n.roleLost,
+		Guard:                n.deps.Guard,
 	}, ownership, n.ownerSettings)
 	n.startReadingExecutors()
 	o.SetQueues(n.configuration.Queues())
--- a/bwnode/cluster_test.go
+++ b/bwnode/cluster_test.go
@@ -211,7 +211,7 @@
 	c.goroutines.Add(2)
 	go func() {
 		defer c.goroutines.Done()
-		_ = bwmesh.Serve(ctx, listener, node.Server())
+		_ = bwmesh.Serve(ctx, listener, node.Server(), deps.Guard)
 	}()
 	go func() {
 		defer c.goroutines.Done()
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -24,6 +24,7 @@
 	"basilwood.example/basilwood/bwmirror"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwownership"
+	"basilwood.example/basilwood/bwpanic"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
@@ -81,6 +82,8 @@
 	Clock   bwclock.Clock
 	Log     hclog.Logger
 	Metrics *Metrics
+	// Guard contains panics, each of which ends one role or one call.
+	Guard *bwpanic.Guard
 }
 
 // Settings are the deployment's settings of a Node.
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -24,6 +24,7 @@
 	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwkv"
+	"basilwood.example/basilwood/bwpanic"
 	"basilwood.example/basilwood/bwschedule"
 	"github.com/hashicorp/go-hclog"
 )
@@ -147,8 +148,10 @@
 	Placements func() []bwfleet.Placement
 	// AskPool asks the owner of a pool for a job that the owner of claimingPool is about to accept.
 	AskPool func(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) Reply
-	// OnLost is called once when another owner has taken over the pool.
+	// OnLost is called once when another owner has taken over the pool, or this one has given it up.
 	OnLost func(pool, reason string)
+	// Guard contains panics, after which the owner gives up the pool.
+	Guard *bwpanic.Guard
 }
 
 // Owner runs the jobs of one pool. It is safe for concurrent use.
@@ -244,21 +247,37 @@
 	defer o.cancel()
 	started := o.deps.Clock.Now()
 	o.log.Info("pool taken over", "previousMayAct", o.ownership.PreviousOwnerGrace.String())
-	if !o.load(o.ctx) {
+	isLoaded := false
+	if o.contain("load", func() { isLoaded = o.load(o.ctx) }); !isLoaded {
 		return
 	}
 	o.log.Info("pool loaded", "took", o.deps.Clock.Now().Sub(started).String())
-	o.group.Add(1)
-	go func() {
-		defer o.group.Done()
-		o.committer.Run(o.ctx)
-	}()
+	o.spawn("commit", func() { o.committer.Run(o.ctx) })
 	o.requestPass()
 	o.runPasses(o.ctx)
 	o.group.Wait()
 	o.log.Info("pool owner stopped")
 }
 
+// contain runs a part of the owner's work. After a panic the state of the scheduler cannot be trusted: the
+// owner gives up the pool, which is then loaded from the store again.
+func (o *Owner) contain(place string, f func(), fields ...any) bool {
+	if o.deps.Guard.Run(place, f, append([]any{"pool", o.ownership.Pool, "fence", o.ownership.Fence}, fields...)...) {
+		return true
+	}
+	o.loseOwnership("unexpected error in " + place)
+	return false
+}
+
+// spawn runs a part of the owner's work in a goroutine that Run waits for.
+func (o *Owner) spawn(place string, f func(), fields ...any) {
+	o.group.Add(1)
+	go func() {
+		defer o.group.Done()
+		o.contain(place, f, fields...)
+	}()
+}
+
 // runPasses runs a scheduling pass after each event, and at idlePassInterval without events,
 // until ctx is done.
 func (o *Owner) runPasses(ctx context.Context) {
@@ -272,12 +291,14 @@
 		case requestedAt = <-o.passRequested:
 		case <-t.C:
 		}
-		o.mu.Lock()
-		if requestedAt != bwclock.Never {
-			o.recordPassDelay(requestedAt)
-		}
-		o.runPass()
-		o.mu.Unlock()
+		o.contain("pass", func() {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			if requestedAt != bwclock.Never {
+				o.recordPassDelay(requestedAt)
+			}
+			o.runPass()
+		})
 		bwclock.Sleep(ctx, minPassInterval)
 	}
 }
@@ -355,9 +376,7 @@
 	if !ok {
 		return
 	}
-	o.group.Add(1)
-	go func() {
-		defer o.group.Done()
+	o.spawn("advice", func() {
 		requestedAt := o.deps.Clock.Now()
 		advice, err := o.deps.Adviser.Advise(o.ctx, request)
 		if err != nil {
@@ -367,7 +386,7 @@
 		defer o.mu.Unlock()
 		o.scheduler.HandleAdvice(request, advice, err == nil, requestedAt)
 		o.requestPass()
-	}()
+	}, "job", request.Step.Job)
 }
 
 // SetQueues updates the configured queues. Those whose tasks run in other pools may have left jobs in
@@ -386,16 +405,18 @@
 
 // SetExecutors replaces the list of the pool's registered executors.
 func (o *Owner) SetExecutors(list []bwexecutor.Registration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.registrations = make(map[string]bwexecutor.Registration, len(list))
-	for _, r := range list {
-		o.registrations[r.ID] = r
-	}
-	if o.isReady {
-		o.syncExecutors()
-		o.requestPass()
-	}
+	o.contain("registry", func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.registrations = make(map[string]bwexecutor.Registration, len(list))
+		for _, r := range list {
+			o.registrations[r.ID] = r
+		}
+		if o.isReady {
+			o.syncExecutors()
+			o.requestPass()
+		}
+	})
 }
 
 // syncExecutors updates the scheduler and the sessions to match the registrations. The
@@ -412,7 +433,7 @@
 	}
 }
 
-// loseOwnership stops the owner after another one has taken over the pool.
+// loseOwnership stops the owner after another one has taken over the pool, or to give it up.
 func (o *Owner) loseOwnership(reason string) {
 	o.lostOnce.Do(func() {
 		o.log.Warn("pool lost", "reason", reason)
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -66,6 +66,9 @@
 	maxQueueDelay = 700 * time.Millisecond
 )
 
+// unexpectedErrorReply is the reply to a request that an unexpected error has interrupted.
+var unexpectedErrorReply = Reply{Verdict: Unknown, Reason: "unexpected error"}
+
 // submission is a submitted job whose record is being stored. reply is set before done is
 // closed.
 type submission struct {
@@ -78,7 +81,9 @@
 // Submit stores a job and returns once the outcome of the write is known or ctx is done. It
 // is idempotent: submitting a known job again succeeds and changes nothing.
 func (o *Owner) Submit(ctx context.Context, spec *bwjob.Spec) Reply {
-	s, reply := o.enqueueSubmission(spec)
+	var s *submission
+	reply := unexpectedErrorReply
+	o.contain("submit", func() { s, reply = o.enqueueSubmission(spec) }, "job", spec.ID)
 	if s == nil {
 		return reply
 	}
@@ -120,11 +125,7 @@
 	s := &submission{job: j, record: value, done: make(chan struct{})}
 	o.pendingSubmissions[spec.ID] = s
 	if pools := o.otherPools(spec); len(pools) > 0 {
-		o.group.Add(1)
-		go func() {
-			defer o.group.Done()
-			o.askOtherPools(s, pools)
-		}()
+		o.spawn("askPools", func() { o.askOtherPools(s, pools) }, "job", spec.ID)
 		return s, Reply{}
 	}
 	o.storeSubmission(s)
@@ -186,6 +187,12 @@
 
 // State returns the state of a job.
 func (o *Owner) State(q bwfleet.Queue, id string) Reply {
+	reply := unexpectedErrorReply
+	o.contain("state", func() { reply = o.state(q, id) }, "job", id)
+	return reply
+}
+
+func (o *Owner) state(q bwfleet.Queue, id string) Reply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if reply, ok := o.checkServing(); !ok {
@@ -233,7 +240,9 @@
 
 // Cancel ends a job and returns once that is stored, its outcome is unknown or ctx is done.
 func (o *Owner) Cancel(ctx context.Context, q bwfleet.Queue, id string) Reply {
-	stored, reply := o.enqueueCancel(q, id)
+	var stored chan bwcommit.WriteOutcome
+	reply := unexpectedErrorReply
+	o.contain("cancel", func() { stored, reply = o.enqueueCancel(q, id) }, "job", id)
 	if stored == nil {
 		return reply
 	}
@@ -283,7 +292,12 @@
 
 // Pending returns the number of a queue's jobs that have not started. It returns false if
 // this owner cannot serve requests now.
-func (o *Owner) Pending(q bwfleet.Queue) (int, bool) {
+func (o *Owner) Pending(q bwfleet.Queue) (pending int, known bool) {
+	o.contain("pending", func() { pending, known = o.countPending(q) })
+	return pending, known
+}
+
+func (o *Owner) countPending(q bwfleet.Queue) (int, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, ok := o.checkServing(); !ok {
@@ -297,7 +311,12 @@
 
 // Survey summarizes the pool's state for the host coordinator (package bwmaintenance). It
 // returns false if this owner cannot serve requests now.
-func (o *Owner) Survey() (bwmaintenance.Survey, bool) {
+func (o *Owner) Survey() (survey bwmaintenance.Survey, known bool) {
+	o.contain("survey", func() { survey, known = o.survey() })
+	return survey, known
+}
+
+func (o *Owner) survey() (bwmaintenance.Survey, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, ok := o.checkServing(); !ok {
@@ -310,7 +329,12 @@
 
 // Cordon cordons an executor for the duration d: no new tasks are placed on it, and its
 // long-running tasks are evicted. It reports whether the executor is certain to run nothing.
-func (o *Owner) Cordon(executor string, d time.Duration) bool {
+func (o *Owner) Cordon(executor string, d time.Duration) (isEmpty bool) {
+	o.contain("cordon", func() { isEmpty = o.cordon(executor, d) }, "executor", executor)
+	return isEmpty
+}
+
+func (o *Owner) cordon(executor string, d time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, ok := o.checkServing(); !ok {
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -63,10 +63,9 @@
 	s := &session{owner: o, target: target, wake: make(chan struct{}, orderWorkers)}
 	s.ctx, s.cancel = context.WithCancel(o.ctx)
 	o.sessions[target.ID] = s
-	o.group.Add(1 + orderWorkers)
-	go s.pollReports()
+	o.spawn("reports", s.pollReports, "executor", target.ID)
 	for range orderWorkers {
-		go s.sendOrders()
+		o.spawn("orders", s.sendOrders, "executor", target.ID)
 	}
 }
 
@@ -118,7 +117,6 @@
 
 // sendOrders sends queued orders until the session ends.
 func (s *session) sendOrders() {
-	defer s.owner.group.Done()
 	for {
 		order, ok := s.dequeue()
 		if !ok {
@@ -214,7 +212,6 @@
 
 // pollReports renews the executor's lease and reads its reports until the session ends.
 func (s *session) pollReports() {
-	defer s.owner.group.Done()
 	isFirst := true
 	isUnreachable := false
 	for s.ctx.Err() == nil {
--- a/bwpeer/conn_pool.go
+++ b/bwpeer/conn_pool.go
@@ -138,8 +138,8 @@
 	return ServeMux(ctx, l, m)
 }
 
-// ServeMux serves the protocols registered with m on l until ctx is done.
-func ServeMux(ctx context.Context, l net.Listener, m *drpcmux.Mux) error {
+// ServeMux serves the protocols of a handler, such as a drpcmux.Mux, on l until ctx is done.
+func ServeMux(ctx context.Context, l net.Listener, m drpc.Handler) error {
 	server := drpcserver.NewWithOptions(m, drpcserver.Options{Manager: managerOptions()})
 	return server.Serve(ctx, l)
 }
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -18,6 +18,7 @@
 	"basilwood.example/basilwood/bwmesh"
 	"basilwood.example/basilwood/bwnode"
 	"basilwood.example/basilwood/bwowner"
+	"basilwood.example/basilwood/bwpanic"
 	"basilwood.example/basilwood/bwpeer"
 	"basilwood.example/basilwood/bwsettings"
 	"basilwood.example/basilwood/platform"
@@ -47,6 +48,7 @@
 	log          hclog.Logger
 	node         *bwnode.Node
 	mesh         *bwmesh.Mesh
+	guard        *bwpanic.Guard
 	callerServer *http.Server
 	servers      sync.WaitGroup
 }
@@ -64,7 +66,7 @@
 	defer cancel()
 	p.startServer(func() error { return bwhttp.Serve(p.callerServer, listeners[0]) })
 	p.startServer(func() error { return bwhttp.Serve(bwhttp.NewServer(p.readinessHandler()), listeners[1]) })
-	p.startServer(func() error { return bwmesh.Serve(ctx, listeners[2], p.node.Server()) })
+	p.startServer(func() error { return bwmesh.Serve(ctx, listeners[2], p.node.Server(), p.guard) })
 	p.startServer(func() error { return bwhttp.Serve(bwhttp.NewServer(p.operationsHandler(registry)), listeners[3]) })
 	go p.node.Run(ctx)
 	p.waitForStop()
@@ -77,6 +79,7 @@
 func newProcess(s platform.Settings, log hclog.Logger, registry *prometheus.Registry) *process {
 	store := platform.NewStoreClient(s.StoreAddress)
 	mesh := bwmesh.New(bwpeer.DialTCP)
+	guard := bwpanic.NewGuard(log, registry)
 	deps := bwnode.Deps{
 		Store:     store,
 		Registry:  platform.Registry(),
@@ -86,6 +89,7 @@
 		Clock:     bwclock.NewBootTime(),
 		Log:       log,
 		Metrics:   bwnode.NewMetrics(registry),
+		Guard:     guard,
 	}
 	if s.HostsAddress != "" {
 		deps.Hosts = platform.NewHostClient(s.HostsAddress, s.Node, log)
@@ -102,7 +106,7 @@
 		MaxCapacityDelay:   s.MaxCapacityDelay,
 		HandoverDelay:      s.HandoverDelay,
 	})
-	return &process{settings: s, log: log, node: node, mesh: mesh, callerServer: bwhttp.NewServer(platform.NewIngress(node, log))}
+	return &process{settings: s, log: log, node: node, mesh: mesh, guard: guard, callerServer: bwhttp.NewServer(platform.NewIngress(node, log, guard))}
 }
 
 // startServer runs a server in its own goroutine until its listener is closed.
