bwhttp: orders are sent only while their permit holds

Stops and pace orders were not checked at all after the head of the pass.

The permit is checked again when the request has got its connection: ownership, the reason of the order, and for hosts the age of the cordon. A denied order is known not to be sent.

--- a/bwhttp/exchange.go
+++ b/bwhttp/exchange.go
@@ -27,8 +27,15 @@
 
 // Exchange sends a request and returns the status and the body of the reply. It returns an
 // error if a limit is exceeded, the connection fails or the request's context is done. An
-// error after the reply has begun says how much of the body had arrived.
+// error after the reply has begun says how much of the body had arrived. It is ErrNotPermitted if the
+// request was not sent because the permit of its context had run out.
 func Exchange(transport http.RoundTripper, r *http.Request, l Limits) (int, []byte, error) {
+	r, check := withPermitCheck(r)
+	status, body, err := exchange(transport, r, l)
+	return status, body, check.result(err)
+}
+
+func exchange(transport http.RoundTripper, r *http.Request, l Limits) (int, []byte, error) {
 	if l.Wait == 0 && l.Pause == 0 {
 		return roundTrip(transport, r, l.MaxBytes, func(body io.ReadCloser) io.Reader { return body })
 	}
--- a/bwmaintenance/coordinator.go
+++ b/bwmaintenance/coordinator.go
@@ -10,6 +10,7 @@
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwfleet"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwkv"
 	"github.com/hashicorp/go-hclog"
 )
@@ -342,13 +343,18 @@
 	case Cordon:
 		return Accepted, c.deps.Pools.Cordon(c.ctx, a.Pool, a.Executor, cordonTTL)
 	}
+	askedAt := c.deps.Clock.Now()
 	if !source.IsStandby && !c.renewCordon(source.Name, a.Executor) {
 		return NotEmpty, false
 	}
+	// The order may wait for a connection, and this process may be paused meanwhile.
+	ctx := bwhttp.WithPermit(c.ctx, func() bool {
+		return c.deps.IsConfirmed() && (source.IsStandby || c.deps.Clock.Now().Sub(askedAt) <= maxCordonAge)
+	})
 	if a.Kind == Maintain {
-		return c.deps.Hosts.Maintain(c.ctx, a.Host, a.Wave, c.fence), false
+		return c.deps.Hosts.Maintain(ctx, a.Host, a.Wave, c.fence), false
 	}
-	return c.deps.Hosts.Move(c.ctx, a.Host, a.Pool, c.fence), false
+	return c.deps.Hosts.Move(ctx, a.Host, a.Pool, c.fence), false
 }
 
 // renewCordon renews the cordon of an executor and reports whether it is empty and stays so until
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwschedule"
 )
 
@@ -143,6 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
+	ctx = bwhttp.WithPermit(ctx, func() bool { return s.mayStillSend(order) })
 	sent := o.deps.Clock.Now()
 	reply := o.deps.Executors.Order(ctx, s.target, order, o.ownership.Fence, leaseUntil)
 	o.deps.Metrics.observeOrder(order.Kind, reply.Result, o.deps.Clock.Now().Sub(sent))
@@ -162,16 +164,13 @@
 		return 0, bwschedule.NotSent
 	}
 	now := o.deps.Clock.Now()
-	if order.Kind == bwschedule.Stop && !o.scheduler.IsStopWanted(order, now) {
+	if !o.isOrderCurrent(order, now) {
 		return 0, bwschedule.NotSent
 	}
 	if order.Kind != bwschedule.Start {
 		return 0, bwschedule.Accepted
 	}
 	e := o.scheduler.Executor(s.target.ID)
-	if e == nil || o.isStopping || !o.deps.IsOwnershipConfirmed() || !o.isRunCurrent(order) {
-		return 0, bwschedule.NotSent
-	}
 	if e.IsOverCapacity() {
 		// The capacity has shrunk since the task was placed.
 		return 0, bwschedule.InsufficientCapacity
@@ -184,9 +183,37 @@
 	return leaseUntil, bwschedule.Accepted
 }
 
+// mayStillSend reports whether an order may be sent once it has a connection. The process may have been
+// paused, or have lost the pool, since prepareSend.
+func (s *session) mayStillSend(order bwschedule.Order) bool {
+	o := s.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ctx.Err() == nil && s.ctx.Err() == nil && o.isOrderCurrent(order, o.deps.Clock.Now())
+}
+
+// isOrderCurrent reports whether this process may still act for the pool and the reason of an order holds.
+// The caller holds the lock.
+func (o *Owner) isOrderCurrent(order bwschedule.Order, now bwclock.Time) bool {
+	if !o.deps.IsOwnershipConfirmed() {
+		return false
+	}
+	switch order.Kind {
+	case bwschedule.Start:
+		return !o.isStopping && o.isRunCurrent(order)
+	case bwschedule.Stop:
+		return o.scheduler.IsStopWanted(order, now)
+	default:
+		return true
+	}
+}
+
 // isRunCurrent reports whether the run of a start order is still recorded and not orphaned.
 func (o *Owner) isRunCurrent(order bwschedule.Order) bool {
 	e := o.scheduler.Executor(order.Executor)
+	if e == nil {
+		return false
+	}
 	r := e.Run(order.Task)
 	return r != nil && r.Number == order.Run && !r.IsOrphaned
 }
