--- a/bwhttp/permit.go
+++ b/bwhttp/permit.go
@@ -23,7 +23,6 @@
 	return context.WithValue(ctx, permitKey{}, p)
 }
 
-
 // permitCheck checks the permit of a request when it has got its connection.
 type permitCheck struct {
 	permit   Permit
--- a/bwnode/metrics_test.go
+++ b/bwnode/metrics_test.go
@@ -8,6 +8,8 @@
 
 	"basilwood.example/basilwood/bwlog"
 	"basilwood.example/basilwood/bwnode"
+	"basilwood.example/basilwood/bwpanic"
+	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 )
@@ -20,6 +22,7 @@
 	assert.Assert(t, ok)
 	registry := prometheus.NewRegistry()
 	bwnode.NewMetrics(registry)
+	bwpanic.NewGuard(hclog.NewNullLogger(), registry)
 	w := bwlog.NewWriter(&bytes.Buffer{})
 	defer w.Close()
 	w.Register(registry)
