bwschedule: an index tells whether a task still has a run

Cause: before each start all executors of the pool were searched for a run of the task, 0.45 s of 2.75 s in a profile of an owner of 250 executors; the cost of a start grew with the number of executors. The executors count their runs by task instead.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -78,6 +78,8 @@
 	used         bwjob.Resources
 	// runsOfJob counts the runs of each job.
 	runsOfJob map[string]int
+	// counter counts the runs of each task over all executors of a pool. It may be nil.
+	counter RunCounter
 	// lostRuns are the runs whose lease expired while the executor did not report.
 	lostRuns []*Run
 	lostAt   bwclock.Time
@@ -105,9 +107,33 @@
 	isAdmitted        bool
 }
 
+// RunCounter counts the runs of each task over several executors. Tasks without a run have no entry.
+type RunCounter map[bwjob.TaskID]int
+
+func (c RunCounter) add(id bwjob.TaskID, n int) {
+	if c == nil {
+		return
+	}
+	if c[id] += n; c[id] == 0 {
+		delete(c, id)
+	}
+}
+
+// Option configures an Executor.
+type Option func(*Executor)
+
+// WithRunCounter makes the executor count its runs in c.
+func WithRunCounter(c RunCounter) Option {
+	return func(e *Executor) { e.counter = c }
+}
+
 // New returns the state of an executor that has not reported yet.
-func New(r Registration) *Executor {
-	return &Executor{registration: r, isRegistered: true, runs: make(map[bwjob.TaskID]*Run), runsOfJob: make(map[string]int)}
+func New(r Registration, options ...Option) *Executor {
+	e := &Executor{registration: r, isRegistered: true, runs: make(map[bwjob.TaskID]*Run), runsOfJob: make(map[string]int)}
+	for _, option := range options {
+		option(e)
+	}
+	return e
 }
 
 // Registration returns the latest registration.
@@ -172,6 +198,7 @@
 	e.Remove(r.Task)
 	e.runs[r.Task] = r
 	e.runsOfJob[r.Task.Job]++
+	e.counter.add(r.Task, 1)
 	e.used = e.used.Plus(r.Reserved)
 	if r.HasUnknownSize {
 		e.unknownSizeRuns++
@@ -183,6 +210,7 @@
 	if r := e.runs[id]; r != nil {
 		e.used = e.used.Minus(r.Reserved)
 		delete(e.runs, id)
+		e.counter.add(id, -1)
 		if e.runsOfJob[id.Job]--; e.runsOfJob[id.Job] == 0 {
 			delete(e.runsOfJob, id.Job)
 		}
@@ -247,6 +275,7 @@
 	lost := make([]*Run, 0, len(e.runs))
 	for _, r := range e.runs {
 		lost = append(lost, r)
+		e.counter.add(r.Task, -1)
 	}
 	e.runs = make(map[bwjob.TaskID]*Run)
 	e.runsOfJob = make(map[string]int)
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -124,14 +124,7 @@
 // mayStillRun reports whether an executor has a run of the task, which may be orphaned. A task with
 // such a run must not be started, not even on the same executor, whose record of the run would be
 // replaced.
-func (s *Scheduler) mayStillRun(id bwjob.TaskID) bool {
-	for _, e := range s.executors {
-		if e.Run(id) != nil {
-			return true
-		}
-	}
-	return false
-}
+func (s *Scheduler) mayStillRun(id bwjob.TaskID) bool { return s.runs[id] > 0 }
 
 // startTask assigns a task to an executor and queues the start order. The fields are added to the log.
 func (s *Scheduler) startTask(j *bwjob.Job, id bwjob.TaskID, e *bwexecutor.Executor, run int, now bwclock.Time, fields ...any) {
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -40,6 +40,8 @@
 	jobs      map[string]*bwjob.Job
 	active    map[string]*bwjob.Job
 	executors map[string]*bwexecutor.Executor
+	// runs counts the runs of each task on all executors.
+	runs bwexecutor.RunCounter
 	// sortedIDs caches the sorted executor IDs; nil after a change.
 	sortedIDs []string
 	dirty     map[string]bool
@@ -98,6 +100,7 @@
 		jobs:      make(map[string]*bwjob.Job),
 		active:    make(map[string]*bwjob.Job),
 		executors: make(map[string]*bwexecutor.Executor),
+		runs:      make(bwexecutor.RunCounter),
 		dirty:     make(map[string]bool),
 		awaited:   make(map[string]bwclock.Time),
 		loaded:    make(map[string]bool),
@@ -267,7 +270,7 @@
 		e.Register(r)
 		return
 	}
-	s.executors[r.ID] = bwexecutor.New(r)
+	s.executors[r.ID] = bwexecutor.New(r, bwexecutor.WithRunCounter(s.runs))
 	s.sortedIDs = nil
 	s.log.Info("executor joined", "executor", r.ID, "address", r.Address, "incarnation", r.Incarnation, "rack", r.Rack,
 		"draining", r.IsDraining)
