bwrelay: other nodes call the executors of a large pool for its owner

Relays, nodes in the data centre of the executors, make the calls; the owner sends and gets many of them in one message (docs/design/008). One scheduler still decides.

--- a/bwhttp/permit.go
+++ b/bwhttp/permit.go
@@ -23,6 +23,12 @@
 	return context.WithValue(ctx, permitKey{}, p)
 }
 
+// IsPermitted reports whether the permit of a context holds now. A context without one permits everything.
+func IsPermitted(ctx context.Context) bool {
+	permit, ok := ctx.Value(permitKey{}).(Permit)
+	return !ok || permit()
+}
+
 // permitCheck checks the permit of a request when it has got its connection.
 type permitCheck struct {
 	permit   Permit
--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -18,6 +18,7 @@
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwpanic"
 	"basilwood.example/basilwood/bwpeer"
+	"basilwood.example/basilwood/bwrelay"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 )
@@ -45,12 +46,24 @@
 // Close closes the idle connections.
 func (m *Mesh) Close() { m.connections.Close() }
 
+// Services are what a node serves to other nodes.
+type Services struct {
+	Node DRPCNodeServer
+	// Relay is nil if the node is no relay.
+	Relay bwrelay.DRPCRelayServer
+}
+
 // Serve serves the calls of other nodes on l until ctx is done. A call that panics gets an error.
-func Serve(ctx context.Context, l net.Listener, s DRPCNodeServer, guard *bwpanic.Guard) error {
+func Serve(ctx context.Context, l net.Listener, s Services, guard *bwpanic.Guard) error {
 	mux := drpcmux.New()
-	if err := DRPCRegisterNode(mux, s); err != nil {
+	if err := DRPCRegisterNode(mux, s.Node); err != nil {
 		return err
 	}
+	if s.Relay != nil {
+		if err := bwrelay.DRPCRegisterRelay(mux, s.Relay); err != nil {
+			return err
+		}
+	}
 	return bwpeer.ServeMux(ctx, l, guardedHandler{Handler: mux, guard: guard})
 }
 
@@ -68,6 +81,11 @@
 	return err
 }
 
+// Conn returns a connection to a node, which is opened with its first call.
+func (m *Mesh) Conn(ctx context.Context, address string) drpc.Conn {
+	return m.connections.Conn(ctx, address)
+}
+
 // Ping returns a node's incarnation, its active pools and whether it reaches the store.
 func (m *Mesh) Ping(ctx context.Context, address string) (*PingReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
--- a/bwmesh/mesh_test.go
+++ b/bwmesh/mesh_test.go
@@ -36,7 +36,7 @@
 	listener := network.Listen(address)
 	go func() {
 		defer close(served)
-		_ = bwmesh.Serve(ctx, listener, n, nil)
+		_ = bwmesh.Serve(ctx, listener, bwmesh.Services{Node: n}, nil)
 	}()
 	mesh := bwmesh.New(network.Dialer("10.0.0.2"))
 	accepted := 0
@@ -100,7 +100,7 @@
 		listener := network.Listen(address)
 		go func() {
 			defer close(served)
-			_ = bwmesh.Serve(ctx, listener, n, nil)
+			_ = bwmesh.Serve(ctx, listener, bwmesh.Services{Node: n}, nil)
 		}()
 		mesh := bwmesh.New(network.Dialer("10.0.0.2"))
 		reply := mesh.Submit(ctx, address, "pool", nil)
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -32,6 +32,7 @@
 func (n *Node) nodesChanged([]bwkv.Item) {
 	items, _ := n.nodeKeys.Items()
 	var members []bwownership.Member
+	dataCentres := make(map[string]string)
 	owners := make(map[string]bwownership.Owner)
 	for key, item := range items {
 		if strings.HasPrefix(key, prefixPlacements) {
@@ -46,12 +47,14 @@
 			owners[pool] = bwownership.Owner{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, IsReleased: v.IsReleased}
 		} else if strings.HasPrefix(key, prefixMembers) {
 			members = append(members, bwownership.Member{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, Cores: v.Cores})
+			dataCentres[v.Incarnation] = v.DataCentre
 		}
 	}
 	n.placements.set(n.decodePlacements(items))
 	n.mu.Lock()
 	n.view.SetMembers(members, n.deps.Clock.Now())
 	n.view.SetOwners(owners, n.deps.Clock.Now())
+	n.setRelayMembers(members, owners, dataCentres)
 	replaced := n.replacedRoles(owners)
 	n.mu.Unlock()
 	for name, r := range replaced {
@@ -183,7 +186,9 @@
 	}
 	n.roles[c.Pool] = r
 	ctx := n.ctx
+	relays := n.relayClients[c.Pool]
 	n.spawn(func() {
+		defer n.closeRelayClient(c.Pool, relays)
 		if !n.deps.Guard.Run("role", func() { r.Run(ctx) }, "owned", c.Pool, "fence", fence) {
 			n.roleLost(c.Pool, "unexpected error")
 		}
@@ -196,9 +201,11 @@
 	if c.PreviousOwnerMayAct {
 		ownership.PreviousOwnerGrace = leaseTTL
 	}
+	relays := n.newRelayClient(c.Pool)
 	o := bwowner.New(bwowner.Deps{
 		Store:                n.deps.Store,
-		Executors:            n.deps.Executors,
+		Executors:            relays,
+		IsRelayed:            relays.IsRelayed,
 		Adviser:              n.deps.Adviser,
 		Clock:                n.deps.Clock,
 		Log:                  n.deps.Log,
--- a/bwnode/cluster_test.go
+++ b/bwnode/cluster_test.go
@@ -23,6 +23,7 @@
 	"basilwood.example/basilwood/bwnode"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwpipe"
+	"basilwood.example/basilwood/bwrelay"
 	"basilwood.example/basilwood/bwschedule"
 	"basilwood.example/basilwood/bwseed"
 	"basilwood.example/basilwood/bwstandin"
@@ -51,6 +52,7 @@
 	started    int
 	queues     []bwfleet.Queue
 	configure  []func(*bwnode.Deps)
+	relays     bwrelay.Limits
 	logs       strings.Builder
 	logMu      sync.Mutex
 }
@@ -110,6 +112,11 @@
 
 // newCluster starts a cluster. The functions in configure change the dependencies of each node.
 func newCluster(t *testing.T, seed uint64, nodes, executors int, configure ...func(*bwnode.Deps)) *cluster {
+	return newClusterWithRelays(t, seed, nodes, executors, bwrelay.Limits{}, configure...)
+}
+
+// newClusterWithRelays starts a cluster whose pools use relays from the given numbers of executors on.
+func newClusterWithRelays(t *testing.T, seed uint64, nodes, executors int, relays bwrelay.Limits, configure ...func(*bwnode.Deps)) *cluster {
 	c := &cluster{
 		t:         t,
 		rng:       rand.New(rand.NewPCG(seed, seed)),
@@ -117,6 +124,7 @@
 		executors: bwstandin.NewExecutors(seed),
 		network:   bwpipe.New(),
 		configure: configure,
+		relays:    relays,
 	}
 	for _, pool := range []string{"desk", "lab"} {
 		c.queues = append(c.queues, bwfleet.Queue{Name: "q-" + pool, Pool: pool, Host: "h", Prefix: "/" + pool + "/", MaxAttempts: 3, Stretch: 2, ObjectiveOffset: time.Second})
@@ -203,15 +211,16 @@
 	for _, f := range c.configure {
 		f(&deps)
 	}
-	node := bwnode.New(deps, bwnode.Identity{Name: host, Address: address}, bwnode.Settings{
+	node := bwnode.New(deps, bwnode.Identity{Name: host, Address: address, DataCentre: "a"}, bwnode.Settings{
 		Owner:            bwowner.Settings{LeaseLength: executorLeaseTTL, EndedJobRetention: 5 * time.Minute},
 		MaxCapacityDelay: capacityDelay,
+		Relays:           c.relays,
 	})
 	listener := c.network.Listen(address)
 	c.goroutines.Add(2)
 	go func() {
 		defer c.goroutines.Done()
-		_ = bwmesh.Serve(ctx, listener, node.Server(), deps.Guard)
+		_ = bwmesh.Serve(ctx, listener, node.Services(), deps.Guard)
 	}()
 	go func() {
 		defer c.goroutines.Done()
@@ -373,8 +382,12 @@
 }
 
 func runCluster(t *testing.T, seed uint64, jobs, faults int) {
+	runClusterWith(t, jobs, faults, func(t *testing.T) *cluster { return newCluster(t, seed, 3, 4) })
+}
+
+func runClusterWith(t *testing.T, jobs, faults int, start func(t *testing.T) *cluster) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, seed, 3, 4)
+		c := start(t)
 		defer func() {
 			c.close()
 			if t.Failed() && testing.Verbose() {
@@ -408,3 +421,18 @@
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) { runCluster(t, seed, 80, 16) })
 	}
 }
+
+// The same with relays, of which each calls two executors on average and is killed, stopped or replaced like
+// any other node.
+func TestClusterKeepsGuaranteesWithRelays(t *testing.T) {
+	for seed := firstSeed(t); seed < firstSeed(t)+40; seed++ {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			var c *cluster
+			runClusterWith(t, 80, 16, func(t *testing.T) *cluster {
+				c = newClusterWithRelays(t, seed, 6, 4, bwrelay.Limits{MinExecutors: 1, ExecutorsPerRelay: 2})
+				return c
+			})
+			assert.Assert(t, strings.Contains(c.logs.String(), "relays assigned"))
+		})
+	}
+}
--- a/bwnode/metrics.go
+++ b/bwnode/metrics.go
@@ -6,6 +6,7 @@
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwmirror"
 	"basilwood.example/basilwood/bwowner"
+	"basilwood.example/basilwood/bwrelay"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -13,6 +14,7 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	owner    *bwowner.Metrics
+	relay    *bwrelay.Metrics
 	beliefs  *beliefCollector
 }
 
@@ -22,6 +24,7 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "basilwood_job_requests_total", Help: "Callers' requests about jobs, by call and verdict."}, []string{"call", "verdict"}),
 		owner:   bwowner.NewMetrics(r),
+		relay:   bwrelay.NewMetrics(r),
 		beliefs: newBeliefCollector(),
 	}
 	r.MustRegister(m.requests, m.beliefs)
@@ -36,6 +39,14 @@
 	return m.owner
 }
 
+// Relay returns the metrics of the calls through relays. It may be called on nil.
+func (m *Metrics) Relay() *bwrelay.Metrics {
+	if m == nil {
+		return nil
+	}
+	return m.relay
+}
+
 func (m *Metrics) observeRequest(call string, v bwowner.Verdict) {
 	if m != nil {
 		m.requests.WithLabelValues(call, v.String()).Inc()
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -25,6 +25,7 @@
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwownership"
 	"basilwood.example/basilwood/bwpanic"
+	"basilwood.example/basilwood/bwrelay"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
@@ -99,6 +100,9 @@
 	// HandoverDelay is the time after an order to a host before another process may issue
 	// orders to it.
 	HandoverDelay time.Duration
+	// Relays decides how many other nodes call the executors of a pool. The zero value stands for what the
+	// cores of the nodes allow.
+	Relays bwrelay.Limits
 }
 
 // Identity describes a node to other nodes.
@@ -108,6 +112,8 @@
 	Address string
 	// Cores is the number of processor cores available to the node.
 	Cores float64
+	// DataCentre is the data centre of the node.
+	DataCentre string
 }
 
 // keyValue is the value of a node's or an owner's key.
@@ -117,6 +123,8 @@
 	Address     string `json:"address"`
 	// Cores is the number of processor cores available to the node.
 	Cores float64 `json:"power,omitempty"`
+	// DataCentre is empty in keys of versions that are no relays.
+	DataCentre string `json:"dataCentre,omitempty"`
 	// IsReleased tells the successor that the owner has stopped.
 	IsReleased bool `json:"isReleased,omitempty"`
 }
@@ -151,6 +159,10 @@
 	claiming      map[string]bool
 	pinging       map[string]bool
 	registrations map[string][]bwexecutor.Registration
+	// relayClients holds the clients of the pools that this node owns.
+	relayClients map[string]*bwrelay.Client
+	relayMembers []bwrelay.Member
+	relayLimits  bwrelay.Limits
 	// earlierPools holds the pools with jobs of a version that stored no placements.
 	earlierPools       []string
 	isReadingExecutors bool
@@ -173,6 +185,8 @@
 		pinging:             make(map[string]bool),
 		decodedExecutors:    make(map[string]bwexecutor.Registration),
 		registrations:       make(map[string][]bwexecutor.Registration),
+		relayClients:        make(map[string]*bwrelay.Client),
+		relayLimits:         settings.Relays,
 	}
 	n.log = deps.Log.With("node", identity.Name)
 	n.calls = newCallTracker(n.log)
@@ -260,7 +274,7 @@
 }
 
 func (n *Node) keyValue() keyValue {
-	return keyValue{Name: n.identity.Name, Incarnation: n.incarnation, Address: n.identity.Address, Cores: n.identity.Cores}
+	return keyValue{Name: n.identity.Name, Incarnation: n.incarnation, Address: n.identity.Address, Cores: n.identity.Cores, DataCentre: n.identity.DataCentre}
 }
 
 // operatorsChanged processes changes of the operators' keys.
@@ -321,6 +335,7 @@
 	}
 	n.mu.Lock()
 	n.registrations = byPool
+	n.setRelayTargets()
 	owners := n.localOwners()
 	n.mu.Unlock()
 	for _, o := range owners {
--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -7,6 +7,7 @@
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwmesh"
 	"basilwood.example/basilwood/bwowner"
+	"basilwood.example/basilwood/bwrelay"
 )
 
 // ownerOf returns the owner of a pool if it runs in this process, or else the address of the
@@ -200,6 +201,12 @@
 	*Node
 }
 
+// Services returns what this node serves to other nodes.
+func (n *Node) Services() bwmesh.Services {
+	relay := bwrelay.NewServer(n.deps.Executors, n.deps.Clock, n.log, n.deps.Guard)
+	return bwmesh.Services{Node: n.Server(), Relay: relay}
+}
+
 // Server returns the handler of calls from other nodes.
 func (n *Node) Server() bwmesh.DRPCNodeServer { return server{n} }
 
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -130,6 +130,9 @@
 type Deps struct {
 	Store     Store
 	Executors Executors
+	// IsRelayed reports whether other nodes call the executors, so that a report costs this process less.
+	// It may be nil.
+	IsRelayed func() bool
 	Adviser   Adviser
 	Clock     bwclock.Clock
 	Log       hclog.Logger
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -26,6 +26,9 @@
 	// of the host's CPU time remains for orders. A report takes 28 to 41 us, including
 	// the executor's side (BenchmarkRenewLease in package platform).
 	maxReportsPerSecond = 600
+	// maxRelayedReportsPerSecond is the same limit while relays send the reports of many executors
+	// in one message.
+	maxRelayedReportsPerSecond = 2000
 	// probeInterval is the minimum time between reports that are requested without a wait,
 	// to learn the state of an indeterminate run, such as after an unanswered start order.
 	probeInterval = 120 * time.Millisecond
@@ -300,7 +303,11 @@
 	if o.scheduler.HasUnplacedTasks() {
 		d = backlogReportInterval
 	}
-	return max(d, time.Duration(len(o.sessions))*time.Second/maxReportsPerSecond)
+	perSecond := maxReportsPerSecond
+	if o.deps.IsRelayed != nil && o.deps.IsRelayed() {
+		perSecond = maxRelayedReportsPerSecond
+	}
+	return max(d, time.Duration(len(o.sessions))*time.Second/time.Duration(perSecond))
 }
 
 // nextLeaseRenewal returns the next lease renewal. The first request, and the first after a
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -66,7 +66,7 @@
 	defer cancel()
 	p.startServer(func() error { return bwhttp.Serve(p.callerServer, listeners[0]) })
 	p.startServer(func() error { return bwhttp.Serve(bwhttp.NewServer(p.readinessHandler()), listeners[1]) })
-	p.startServer(func() error { return bwmesh.Serve(ctx, listeners[2], p.node.Server(), p.guard) })
+	p.startServer(func() error { return bwmesh.Serve(ctx, listeners[2], p.node.Services(), p.guard) })
 	p.startServer(func() error { return bwhttp.Serve(bwhttp.NewServer(p.operationsHandler(registry)), listeners[3]) })
 	go p.node.Run(ctx)
 	p.waitForStop()
@@ -94,7 +94,7 @@
 	if s.HostsAddress != "" {
 		deps.Hosts = platform.NewHostClient(s.HostsAddress, s.Node, log)
 	}
-	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress, Cores: s.CPUCores}, bwnode.Settings{
+	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress, Cores: s.CPUCores, DataCentre: s.DataCentre}, bwnode.Settings{
 		Owner: bwowner.Settings{
 			LeaseLength:       min(executorLease, s.MaxLeaseLength),
 			MaxStopTime:       s.MaxTaskStopTime,
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -6,5 +6,5 @@
 PATH="$tools:$PATH" protoc --go_out=. --go_opt=paths=source_relative \
   --go-drpc_out=. --go-drpc_opt=paths=source_relative \
   bwoutcome/outcome.proto bwprofile/profile.proto bwpool/pool.proto bwroster/roster.proto \
-  bwclaim/claim.proto bwaccount/account.proto bwpeer/peer.proto bwjob/job.proto bwmesh/mesh.proto
+  bwclaim/claim.proto bwaccount/account.proto bwpeer/peer.proto bwjob/job.proto bwmesh/mesh.proto bwrelay/relay.proto
 rm -r "$tools"
