bwowner: scheduling passes take a fifth of the time at the most

Cause: with a backlog a pass costs 1.3 ms and more (400 executors, profile), and passes every 10 ms left too little time for reports and orders.

--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -36,6 +36,9 @@
 	// arrive close together: the owner of a large pool receives about 4,000 events a second.
 	// It is short compared with the shortest tasks.
 	minPassInterval = 10 * time.Millisecond
+	// passPause is the minimum time between two passes as a multiple of the duration of a pass. It leaves
+	// four fifths of the time for reports, orders and callers.
+	passPause = 4
 	// latePassDelay is the delay of a scheduling pass from which it counts as late. An event
 	// usually waits for minPassInterval and one pass.
 	latePassDelay = 300 * time.Millisecond
@@ -294,6 +297,7 @@
 		case requestedAt = <-o.passRequested:
 		case <-t.C:
 		}
+		startedAt := o.deps.Clock.Now()
 		o.contain("pass", func() {
 			o.mu.Lock()
 			defer o.mu.Unlock()
@@ -302,7 +306,7 @@
 			}
 			o.runPass()
 		})
-		bwclock.Sleep(ctx, minPassInterval)
+		bwclock.Sleep(ctx, max(minPassInterval, passPause*o.deps.Clock.Now().Sub(startedAt)))
 	}
 }
 
