bwschedule: an eviction without an answer counts against the disruption budget

The task counts as unavailable for as long as the stop may take effect, 15 s.

The test fails without it.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -62,6 +62,8 @@
 	StopOrderedAt bwclock.Time
 	// StopAcknowledgedAt is when the executor last acknowledged a stop of the run.
 	StopAcknowledgedAt bwclock.Time
+	// StopUnansweredAt is when a stop of the run last had no answer. It may still take effect.
+	StopUnansweredAt bwclock.Time
 	// StartExpiresAt is the time on the executor's clock, in milliseconds, from which it refuses the
 	// start order; 0 if the order was not sent.
 	StartExpiresAt int64
--- a/bwschedule/availability.go
+++ b/bwschedule/availability.go
@@ -1,6 +1,8 @@
 package bwschedule
 
 import (
+	"time"
+
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwexecutor"
 	"basilwood.example/basilwood/bwjob"
@@ -10,6 +12,10 @@
 // task counts as available.
 const availablePercent = 100
 
+// lateOrderTime is how long an order without an answer may still take effect. The platform says only that
+// it may do so seconds later.
+const lateOrderTime = 15 * time.Second
+
 // availability returns log fields that tell how many other tasks of a long-running task's step are
 // unavailable and how many of the step may be. It returns nil for other tasks.
 func (s *Scheduler) availability(id bwjob.TaskID, now bwclock.Time) []any {
@@ -45,6 +51,9 @@
 	if r == nil || r.Phase != bwexecutor.Running || r.StopOrderedAt != bwclock.Never || r.StopAcknowledgedAt != bwclock.Never {
 		return false
 	}
+	if r.StopUnansweredAt != bwclock.Never && now.Sub(r.StopUnansweredAt) < lateOrderTime {
+		return false
+	}
 	return r.Status.Percent >= availablePercent || step.BestEffort
 }
 
--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -92,6 +92,9 @@
 	case Accepted:
 		r.StopAcknowledgedAt = now
 	case Unhealthy, NotSent, Unanswered:
+		if result == Unanswered {
+			r.StopUnansweredAt = now
+		}
 		// Lets another stop be ordered as soon as a report lists the run.
 		r.StopOrderedAt = bwclock.Never
 	}
--- a/bwschedule/settle_test.go
+++ b/bwschedule/settle_test.go
@@ -162,3 +162,27 @@
 	h.s.Cordon(orders[1].Executor, h.now.Add(time.Minute))
 	assert.Equal(t, len(h.s.Schedule(h.now)), 0)
 }
+
+// Guards against an eviction beside another one that had no answer: the first task is listed at work, but
+// its stop may still take effect.
+func TestUnansweredEvictionCountsAgainstBudget(t *testing.T) {
+	h := newHarness(t, 4)
+	orders := h.submitLasting(2)
+	for _, o := range orders {
+		h.s.HandleResult(o, bwschedule.Accepted, h.now)
+	}
+	h.reportAll()
+	h.s.Cordon(orders[0].Executor, h.now.Add(time.Second))
+	stops := h.s.Schedule(h.now)
+	assert.Equal(t, len(stops), 1)
+	h.s.HandleResult(stops[0], bwschedule.Unanswered, h.now)
+	for range 14 {
+		h.advance(time.Second)
+		h.reportAll()
+		h.s.Cordon(orders[1].Executor, h.now.Add(time.Minute))
+		assert.Equal(t, len(h.s.Schedule(h.now)), 0)
+	}
+	h.advance(time.Second)
+	h.reportAll()
+	assert.Equal(t, len(h.s.Schedule(h.now)), 1)
+}
