--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -36,9 +36,6 @@
 	// arrive close together: the owner of a large pool receives about 4,000 events a second.
 	// It is short compared with the shortest tasks.
 	minPassInterval = 10 * time.Millisecond
-	// passPause is the minimum time between two passes as a multiple of the duration of a pass. It leaves
-	// four fifths of the time for reports, orders and callers.
-	passPause = 4
 	// latePassDelay is the delay of a scheduling pass from which it counts as late. An event
 	// usually waits for minPassInterval and one pass.
 	latePassDelay = 300 * time.Millisecond
@@ -306,7 +303,8 @@
 			}
 			o.runPass()
 		})
-		bwclock.Sleep(ctx, max(minPassInterval, passPause*o.deps.Clock.Now().Sub(startedAt)))
+		// Passes take at most half of the time, so that reports, orders and callers get the other half.
+		bwclock.Sleep(ctx, max(minPassInterval, o.deps.Clock.Now().Sub(startedAt)))
 	}
 }
 
