--- a/bwrelay/link.go
+++ b/bwrelay/link.go
@@ -42,13 +42,13 @@
 	cancel  context.CancelCauseFunc
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	queue   []*pendingCall
-	pending map[uint64]*pendingCall
-	nextID  uint64
-	heardAt bwclock.Time
-	isUsed  bool
-	hasEnd  bool
+	mu       sync.Mutex
+	queue    []*pendingCall
+	pending  map[uint64]*pendingCall
+	nextID   uint64
+	heardAt  bwclock.Time
+	isUsed   bool
+	hasEnded bool
 }
 
 // newLink starts a link.
@@ -77,7 +77,7 @@
 		call.TimeoutMillis = maxCallTimeout.Milliseconds()
 	}
 	l.mu.Lock()
-	if l.hasEnd {
+	if l.hasEnded {
 		l.mu.Unlock()
 		return replyOf(bwschedule.NotSent)
 	}
@@ -260,7 +260,7 @@
 func (l *link) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hasEnd = true
+	l.hasEnded = true
 	for id, p := range l.pending {
 		delete(l.pending, id)
 		result := bwschedule.NotSent
