bwschedule, bwowner: the log tells what proved that a run was over

The log of an owner tells that a task is started again, but for a lost lease and a restart not which runs were released, and for no release what the owner knew of the executor and how old that was. An order that was not sent has no reason. A new owner does not log that it has heard from an executor, so an executor that it did not know looks like one that answered. A start that is answered after its run was released leaves no line.

New lines, none for a start that is accepted or for a reported end:

- task released: each run that is taken for over without a reported end, with the reason, the incarnation, the phase of the run and the ages of order, stop and report, and what was left of the lease.
A refused start has the same fields in "order not accepted", which also gets "why": the status with its reason, the error of the connection, or the relay.
- start of a released run answered: an executor has accepted a start, or may have, that was given up.
- executor has reported for the first time: once for each owner and incarnation.
- scheduling has paused, confirmation of the ownership has changed: an old owner that was frozen or cut off.
- pool owner stopped tells what was unsent or undecided, "role dropped" which revision and address replaced the owner, "executor has restarted" the previous incarnation and the age of the evidence.

basilwood_releases_total counts releases by reason. No decision changes.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -39,6 +39,11 @@
 	Stopping
 )
 
+// String returns the phase in lower case.
+func (p Phase) String() string {
+	return [...]string{"starting", "running", "indeterminate", "stopping"}[p]
+}
+
 // Run is one run of a task on the executor.
 type Run struct {
 	Task      bwjob.TaskID
@@ -306,6 +311,16 @@
 	return e.hasClockPassed(e.leaseEnd, now)
 }
 
+// LeaseLeft returns how much of the recorded lease is left according to the estimate of the executor's clock,
+// without the allowance for drift. It is negative after the end. It returns false as long as that clock is unknown.
+func (e *Executor) LeaseLeft(now bwclock.Time) (time.Duration, bool) {
+	if e.clockReadAt == bwclock.Never {
+		return 0, false
+	}
+	left := e.leaseEnd - e.clockMillis - now.Sub(e.clockReadAt).Milliseconds()
+	return time.Duration(left) * time.Millisecond, true
+}
+
 // HasStartExpired reports whether the executor is certain to refuse the start order of the run from
 // the given time on, if it has not executed it before.
 func (e *Executor) HasStartExpired(r *Run, at bwclock.Time) bool {
--- a/bwjob/task.go
+++ b/bwjob/task.go
@@ -94,6 +94,9 @@
 // Run returns the highest run number that was used or skipped.
 func (t *Task) Run() int { return t.run }
 
+// HighestEndedRun returns the highest run number of which an end was reported.
+func (t *Task) HighestEndedRun() int { return t.highestEndedRun }
+
 // Checkpoint returns the latest checkpoint, or "" if there is none.
 func (t *Task) Checkpoint() string { return t.checkpoint }
 
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -58,7 +59,7 @@
 	replaced := n.replacedRoles(owners)
 	n.mu.Unlock()
 	for name, r := range replaced {
-		n.dropRole(name, r, "owner's key has changed")
+		n.dropRole(name, r, describeOwner(owners[name]))
 	}
 	n.claimRoles()
 }
@@ -91,6 +92,14 @@
 	return list
 }
 
+// describeOwner tells the log who has replaced an owner.
+func describeOwner(o bwownership.Owner) string {
+	if o.Revision == 0 {
+		return "owner's key has been removed"
+	}
+	return fmt.Sprintf("owner's key has revision %d of %s", o.Revision, o.Address)
+}
+
 // dropRole ends a role whose key was lost, without waiting for in-flight work.
 func (n *Node) dropRole(name string, r role, reason string) {
 	n.mu.Lock()
--- a/bwowner/metrics.go
+++ b/bwowner/metrics.go
@@ -13,6 +13,7 @@
 	orderSeconds  *prometheus.HistogramVec
 	reportSeconds prometheus.Histogram
 	passDelay     prometheus.Histogram
+	releases      *prometheus.CounterVec
 }
 
 // NewMetrics returns Metrics that are registered with r.
@@ -29,8 +30,10 @@
 		passDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "basilwood_pass_delay_seconds", Help: "Time from an event to the scheduling pass that handles it.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
+		releases: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "basilwood_releases_total", Help: "Runs taken for over without a reported end, by reason."}, []string{"reason"}),
 	}
-	r.MustRegister(m.orders, m.orderSeconds, m.reportSeconds, m.passDelay)
+	r.MustRegister(m.orders, m.orderSeconds, m.reportSeconds, m.passDelay, m.releases)
 	return m
 }
 
@@ -53,3 +56,9 @@
 		m.passDelay.Observe(delay.Seconds())
 	}
 }
+
+func (m *Metrics) countRelease(reason string) {
+	if m != nil {
+		m.releases.WithLabelValues(reason).Inc()
+	}
+}
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -41,6 +41,9 @@
 	latePassDelay = 300 * time.Millisecond
 	// latePassLogInterval is the minimum time between two log lines about late passes.
 	latePassLogInterval = 5 * time.Second
+	// pauseLogThreshold is the time between the starts of two passes from which it is logged. Without events a
+	// pass follows idlePassInterval after the one before.
+	pauseLogThreshold = time.Second
 	// housekeepingInterval is the minimum time between two checks of the leases, the executor
 	// list and the pace of tasks. It is short compared with the safety margin of a lease.
 	housekeepingInterval = 50 * time.Millisecond
@@ -84,6 +87,8 @@
 	Result bwschedule.Result
 	Clock  int64
 	Report bwexecutor.Report
+	// Reason explains a result other than Accepted for the log. It may be empty.
+	Reason string
 }
 
 // Executors sends calls to executors.
@@ -193,6 +198,8 @@
 	housekeptAt     bwclock.Time
 	sweptAt         bwclock.Time
 	latePassAt      bwclock.Time
+	// isUnconfirmed is set while the ownership is not confirmed and no orders are sent.
+	isUnconfirmed bool
 }
 
 // New returns an Owner. It does nothing until Run is called.
@@ -208,7 +215,7 @@
 		log:                log,
 		done:               make(chan struct{}),
 		passRequested:      make(chan bwclock.Time, 1),
-		scheduler:          bwschedule.New(log, bwschedule.WithCrossRackFactor(settings.CrossRackFactor)),
+		scheduler:          bwschedule.New(log, bwschedule.WithCrossRackFactor(settings.CrossRackFactor), bwschedule.WithOnRelease(deps.Metrics.countRelease)),
 		sessions:           make(map[string]*session),
 		registrations:      make(map[string]bwexecutor.Registration),
 		pendingSubmissions: make(map[string]*submission),
@@ -259,7 +266,15 @@
 	o.requestPass()
 	o.runPasses(o.ctx)
 	o.group.Wait()
-	o.log.Info("pool owner stopped")
+	o.logEnd()
+}
+
+// logEnd logs the end of the ownership with the starts whose outcome this owner does not know.
+func (o *Owner) logEnd() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	unsent, indeterminate := o.scheduler.CountUnsettledStarts()
+	o.log.Info("pool owner stopped", "unsentStarts", unsent, "indeterminateStarts", indeterminate)
 }
 
 // contain runs a part of the owner's work. After a panic the state of the scheduler cannot be trusted: the
@@ -286,6 +301,7 @@
 func (o *Owner) runPasses(ctx context.Context) {
 	t := time.NewTicker(idlePassInterval)
 	defer t.Stop()
+	previousAt := o.deps.Clock.Now()
 	for {
 		requestedAt := bwclock.Never
 		select {
@@ -295,6 +311,10 @@
 		case <-t.C:
 		}
 		startedAt := o.deps.Clock.Now()
+		if gap := startedAt.Sub(previousAt); gap >= pauseLogThreshold {
+			o.log.Warn("scheduling has paused", "gap", gap.String())
+		}
+		previousAt = startedAt
 		o.contain("pass", func() {
 			o.mu.Lock()
 			defer o.mu.Unlock()
@@ -352,6 +372,7 @@
 // holds the lock.
 func (o *Owner) housekeep(now bwclock.Time) {
 	o.housekeptAt = now
+	o.recordConfirmation()
 	for _, id := range o.scheduler.Expire(now) {
 		o.endSession(id)
 	}
@@ -362,6 +383,16 @@
 	o.sweep(now)
 }
 
+// recordConfirmation logs that orders are no longer sent because the ownership is not confirmed, or are sent
+// again. The caller holds the lock.
+func (o *Owner) recordConfirmation() {
+	isUnconfirmed := !o.deps.IsOwnershipConfirmed()
+	if isUnconfirmed != o.isUnconfirmed {
+		o.log.Warn("confirmation of the ownership has changed", "isConfirmed", !isUnconfirmed)
+	}
+	o.isUnconfirmed = isUnconfirmed
+}
+
 // canSendOrders reports whether this owner may still send orders for the pool.
 func (o *Owner) canSendOrders() bool { return !o.isStopping && o.deps.IsOwnershipConfirmed() }
 
@@ -372,7 +403,7 @@
 			s.enqueue(order)
 			continue
 		}
-		o.scheduler.HandleResult(order, bwschedule.NotSent, o.deps.Clock.Now())
+		o.scheduler.HandleResult(order, bwschedule.NotSent, o.deps.Clock.Now(), "why", "executor has no session")
 	}
 }
 
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -87,7 +87,7 @@
 	s.queue = nil
 	s.mu.Unlock()
 	for _, order := range unsent {
-		o.scheduler.HandleResult(order, bwschedule.NotSent, o.deps.Clock.Now())
+		o.scheduler.HandleResult(order, bwschedule.NotSent, o.deps.Clock.Now(), "why", "session has ended")
 	}
 }
 
@@ -140,9 +140,9 @@
 
 func (s *session) send(order bwschedule.Order) {
 	o := s.owner
-	leaseUntil, result := s.prepareSend(order)
-	if result != bwschedule.Accepted {
-		o.finishOrder(order, ExecutorReply{Result: result})
+	leaseUntil, refusal := s.prepareSend(order)
+	if refusal.Result != bwschedule.Accepted {
+		o.finishOrder(order, refusal)
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
@@ -157,33 +157,37 @@
 	o.finishOrder(order, reply)
 }
 
-// prepareSend returns Accepted if the order may still be sent, or else its result. For a start order
-// it also returns the end of the lease to send with it.
-func (s *session) prepareSend(order bwschedule.Order) (int64, bwschedule.Result) {
+// prepareSend returns a reply of Accepted if the order may still be sent, or else its result with the reason. For a
+// start order it also returns the end of the lease to send with it.
+func (s *session) prepareSend(order bwschedule.Order) (int64, ExecutorReply) {
 	o := s.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.ctx.Err() != nil || s.ctx.Err() != nil {
-		return 0, bwschedule.NotSent
+		return 0, notSent("owner or session has ended")
 	}
 	now := o.deps.Clock.Now()
 	if !o.isOrderCurrent(order, now) {
-		return 0, bwschedule.NotSent
+		return 0, notSent("ownership is not confirmed or the order is no longer wanted")
 	}
 	if order.Kind != bwschedule.Start {
-		return 0, bwschedule.Accepted
+		return 0, ExecutorReply{Result: bwschedule.Accepted}
 	}
 	e := o.scheduler.Executor(s.target.ID)
 	if e.IsOverCapacity() {
 		// The capacity has shrunk since the task was placed.
-		return 0, bwschedule.InsufficientCapacity
+		return 0, ExecutorReply{Result: bwschedule.InsufficientCapacity, Reason: "capacity has shrunk"}
 	}
 	leaseUntil, ok := e.ExtendLease(now, o.settings.LeaseLength)
 	if !ok {
-		return 0, bwschedule.NotSent
+		return 0, notSent("clock of the executor is not known")
 	}
 	o.scheduler.RecordStartLease(order, leaseUntil)
-	return leaseUntil, bwschedule.Accepted
+	return leaseUntil, ExecutorReply{Result: bwschedule.Accepted}
+}
+
+func notSent(reason string) ExecutorReply {
+	return ExecutorReply{Result: bwschedule.NotSent, Reason: reason}
 }
 
 // mayStillSend reports whether an order may be sent once it has a connection. The process may have been
@@ -227,10 +231,12 @@
 	defer o.mu.Unlock()
 	now := o.deps.Clock.Now()
 	o.observeClock(order.Executor, reply, now)
-	o.scheduler.HandleResult(order, reply.Result, now)
-	if reply.Result != bwschedule.Accepted {
-		o.requestPass()
+	if reply.Result == bwschedule.Accepted {
+		o.scheduler.HandleResult(order, reply.Result, now)
+		return
 	}
+	o.scheduler.HandleResult(order, reply.Result, now, "why", reply.Reason)
+	o.requestPass()
 }
 
 // observeClock updates the scheduler's estimate of an executor's clock from a reply.
@@ -278,7 +284,7 @@
 		return
 	}
 	s.owner.log.Warn("executor does not answer", "executor", s.target.ID, "address", s.target.Address,
-		"result", reply.Result.String(), "after", s.owner.deps.Clock.Now().Sub(sent).String())
+		"result", reply.Result.String(), "why", reply.Reason, "after", s.owner.deps.Clock.Now().Sub(sent).String())
 }
 
 // waitForNextReport sleeps until the next report is due.
--- a/bwrelay/client.go
+++ b/bwrelay/client.go
@@ -246,6 +246,9 @@
 		// Without the lists it is not known what the executor runs.
 		result = bwowner.ExecutorReply{Result: bwschedule.Unanswered}
 	}
+	if result.Result != bwschedule.Accepted {
+		result.Reason = "through relay " + l.address
+	}
 	if result.Result == bwschedule.Unanswered && !errors.Is(ctx.Err(), context.Canceled) {
 		c.recordMiss(target.ID, l.address)
 	}
@@ -259,7 +262,11 @@
 	if l == nil {
 		return c.direct.Order(ctx, target, o, fence, leaseUntil)
 	}
-	return l.call(ctx, newCall(target, fence, func(call *Call) { call.Order = encodeOrder(o, leaseUntil) }), o.Payload).decode()
+	reply := l.call(ctx, newCall(target, fence, func(call *Call) { call.Order = encodeOrder(o, leaseUntil) }), o.Payload).decode()
+	if reply.Result != bwschedule.Accepted {
+		reply.Reason = "through relay " + l.address
+	}
+	return reply
 }
 
 func newCall(target bwowner.Target, fence int64, set func(*Call)) *Call {
--- a/bwrelay/relay_test.go
+++ b/bwrelay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -240,7 +241,9 @@
 		}
 		time.Sleep(2 * time.Second)
 		ctx := bwhttp.WithPermit(t.Context(), func() bool { return false })
-		assert.Equal(t, x.client.Order(ctx, target(0), startOrder(0), 7, 9).Result, bwschedule.NotSent)
+		reply := x.client.Order(ctx, target(0), startOrder(0), 7, 9)
+		assert.Equal(t, reply.Result, bwschedule.NotSent)
+		assert.Assert(t, strings.HasPrefix(reply.Reason, "through relay 10.0.0."))
 	})
 }
 
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -14,9 +14,14 @@
 		return
 	}
 	if e.HasReported() && e.Incarnation() != r.Incarnation {
-		s.log.Warn("executor has restarted", "executor", id, "incarnation", r.Incarnation, "lostRuns", len(e.Runs()))
+		s.log.Warn("executor has restarted", "executor", id, "incarnation", r.Incarnation, "previous", e.Incarnation(),
+			"lostRuns", len(e.Runs()), "evidenceAge", age(sentAt, now))
 		s.resetExecutor(e, now)
 	}
+	if !e.HasReported() {
+		s.log.Info("executor has reported for the first time", "executor", id, "incarnation", r.Incarnation, "runs", len(r.Running),
+			"ends", len(r.Ended), "awaited", s.IsAwaited(id), "awaitedExecutors", len(s.awaited), "evidenceAge", age(sentAt, now))
+	}
 	s.resolveProbations(id, r.Incarnation, now)
 	e.TakeLostRuns()
 	e.RecordReport(r.Incarnation, now)
@@ -39,6 +44,9 @@
 // resetExecutor releases the tasks of an executor that has restarted, and records the crash.
 func (s *Scheduler) resetExecutor(e *bwexecutor.Executor, now bwclock.Time) {
 	lastReportAt := e.ReportedAt()
+	for _, run := range e.Runs() {
+		s.recordRelease(e, run, restarted, now)
+	}
 	lost := append(e.TakeLostRuns(), e.Reset()...)
 	for _, run := range lost {
 		if j := s.jobs[run.Task.Job]; j != nil && !run.IsOrphaned {
@@ -78,7 +86,8 @@
 // incarnation.
 func (s *Scheduler) HandleRestart(id string, now bwclock.Time) {
 	if e := s.executors[id]; e != nil && e.HasReported() {
-		s.log.Warn("executor replied with another incarnation; its runs are lost", "executor", id, "lostRuns", len(e.Runs()))
+		s.log.Warn("executor replied with another incarnation; its runs are lost", "executor", id, "previous", e.Incarnation(),
+			"lostRuns", len(e.Runs()))
 		s.resetExecutor(e, now)
 	}
 	s.resolveProbations(id, noIncarnation, now)
@@ -241,8 +250,7 @@
 		switch {
 		case r.StopAcknowledgedAt != bwclock.Never && r.StopAcknowledgedAt.Before(sentAt):
 			// An executor that has acknowledged a stop refuses any later start of this run.
-			s.log.Info("stopped run is not listed; releasing the task", "job", id.Job, "task", id, "run", r.Number, "executor", e.ID())
-			s.releaseRun(e, r)
+			s.releaseRun(e, r, stopAcknowledged, now)
 		case r.Phase == bwexecutor.Indeterminate && r.OrderedAt.Before(sentAt):
 			s.settleStart(e, r, sentAt, now)
 		case r.Phase == bwexecutor.Running && r.ConfirmedAt != bwclock.Never && r.ConfirmedAt.Before(sentAt):
--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -5,19 +5,22 @@
 	"basilwood.example/basilwood/bwexecutor"
 )
 
-// HandleResult applies the result of an order.
-func (s *Scheduler) HandleResult(o Order, result Result, now bwclock.Time) {
+// HandleResult applies the result of an order. The fields are added to the log if the order was not accepted.
+func (s *Scheduler) HandleResult(o Order, result Result, now bwclock.Time, fields ...any) {
 	e := s.executors[o.Executor]
 	if e == nil {
+		s.logStrayStart(o, result, now)
 		return
 	}
 	r := e.Run(o.Task)
 	if r == nil || r.Number != o.Run {
+		s.logStrayStart(o, result, now)
 		return
 	}
 	if result != Accepted {
-		s.log.Info("order not accepted", "job", o.Task.Job, "task", o.Task, "run", o.Run, "order", o.Kind.String(),
-			"executor", o.Executor, "result", result.String())
+		fields = append(fields, evidence(e, r, now)...)
+		s.log.Info("order not accepted", append([]any{"job", o.Task.Job, "task", o.Task, "run", o.Run, "order", o.Kind.String(),
+			"executor", o.Executor, "result", result.String()}, fields...)...)
 	}
 	switch o.Kind {
 	case Start:
@@ -68,7 +71,7 @@
 	if result == RunTooOld && j != nil && j.IsActive() {
 		j.SkipRunsThrough(r.Task, r.Number+takeoverRunGap)
 	}
-	s.releaseRun(e, r)
+	s.releaseRun(e, r, startRefused, now)
 	if j != nil && j.EndProbation(r.Task, r.Number) {
 		s.dirty[j.ID()] = true
 		s.suspects.hasUnstored = true
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -76,6 +76,8 @@
 	crossRackFactor float64
 	// rackWaits holds, by job, the steps that wait for capacity in one rack and since when.
 	rackWaits map[string]map[StepID]bwclock.Time
+	// onRelease is called with the reason whenever a task is released without a reported end.
+	onRelease func(reason string)
 }
 
 // Option configures a Scheduler.
@@ -91,6 +93,12 @@
 	}
 }
 
+// WithOnRelease sets a function that is called with the reason whenever a task may be started again although no
+// end of its run was reported.
+func WithOnRelease(f func(reason string)) Option {
+	return func(s *Scheduler) { s.onRelease = f }
+}
+
 // New returns a Scheduler without jobs or executors.
 func New(log hclog.Logger, options ...Option) *Scheduler {
 	s := &Scheduler{
@@ -110,6 +118,7 @@
 
 		isCapacityKnown: true,
 		crossRackFactor: defaultCrossRackFactor,
+		onRelease:       func(string) {},
 	}
 	for _, option := range options {
 		option(s)
@@ -327,7 +336,7 @@
 		runs = append(runs, r)
 	}
 	for _, r := range runs {
-		s.releaseRun(e, r)
+		s.releaseRun(e, r, leaseEnded, now)
 	}
 	s.logLostTasks(e, runs, "lease has ended", now)
 	e.RecordLostRuns(runs, now)
@@ -347,7 +356,8 @@
 }
 
 // releaseRun removes a run that is certain not to run on the executor, now or later.
-func (s *Scheduler) releaseRun(e *bwexecutor.Executor, r *bwexecutor.Run) {
+func (s *Scheduler) releaseRun(e *bwexecutor.Executor, r *bwexecutor.Run, reason releaseReason, now bwclock.Time) {
+	s.recordRelease(e, r, reason, now)
 	e.Remove(r.Task)
 	if j := s.jobs[r.Task.Job]; j != nil && !r.IsOrphaned {
 		j.Release(r.Task, e.ID())
