--- a/bwstandin/executors.go
+++ b/bwstandin/executors.go
@@ -478,3 +478,18 @@
 func (es *Executors) recordViolation(format string, args ...any) {
 	es.violations = append(es.violations, fmt.Sprintf(format, args...))
 }
+
+// RunsOn returns the sorted IDs of the executors that run a task.
+func (es *Executors) RunsOn(task bwjob.TaskID) []string {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	var ids []string
+	for id, e := range es.executors {
+		es.endDueRuns(id, e)
+		if e.running[task] != nil {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
