bwnode: failing test of a replaced owner that starts a task anew

The record there: both runs were started by the previous owner, its successor has adopted run 1 of one executor, the run on the other one lapses without a stop.

What the test does: the owner of a pool loses its way to executor 1, which works on run 1. A second later it is cut off from the other node and hears no more of the owners' keys; it still reaches the store. Its successor reaches executor 1 and not executor 2.

What happens on (no other code changed), times from the log of the nodes:

4.0 s executor 1 is lost to the owner, its last reply came at 4.5 s 5.7 s the successor claims the pool, adopts run 1 and renews the lease of executor 1 8.4 s owner: "executor's lease has ended", "start ordered" run 2 on executor 2, which has not seen the fence of the successor and starts it 8.4 s owner: "pool lost", 4 ms too late

The task becomes startable in Scheduler.Expire -> releaseAll -> releaseRun: HasLeaseExpired goes by the renewals that this owner has sent, and another owner may have sent later ones. The owner is still confirmed (its own lease and the owners' keys were read within 6 s), 3.8 s after the last reply of an executor.

--- a/bwnode/cluster_test.go
+++ b/bwnode/cluster_test.go
@@ -37,6 +37,7 @@
 	// capacityDelay is the time within which nodes must take a new capacity into account.
 	capacityDelay  = 3 * time.Second
 	prefixRegistry = platform.PrefixExecutors
+	prefixNodes    = "nodes/"
 	keyConfig      = "operators/config"
 )
 
@@ -67,16 +68,17 @@
 }
 
 // nodeStore is one node's access to the store. Its watches hang while isWatchBlocked is set, those
-// of the registry while isRegistryBlocked is set.
+// of the registry while isRegistryBlocked is set, and those of the keys of nodes while isNodesBlocked is set.
 type nodeStore struct {
 	*bwstandin.KV
 	isWatchBlocked    atomic.Bool
 	isRegistryBlocked atomic.Bool
+	isNodesBlocked    atomic.Bool
 }
 
 func (s *nodeStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bwkv.Item, int64, error) {
 	items, revision, err := s.KV.Watch(ctx, prefix, after, wait)
-	if s.isWatchBlocked.Load() || prefix == prefixRegistry && s.isRegistryBlocked.Load() {
+	if s.isWatchBlocked.Load() || prefix == prefixRegistry && s.isRegistryBlocked.Load() || prefix == prefixNodes && s.isNodesBlocked.Load() {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
