bwowner: a lease ends only while the pool is known to be owned

Cause: an owner acts for up to 6 s after it last read the owners' keys, and an executor's lease lasts 3.5 s. Scheduler.Expire took a lease for ended by what this owner had granted. Between the two times a successor may have taken the pool, reached the executor and renewed the lease. The replaced owner then released the task and started it on an executor that its successor had not called, which accepts the old fencing token. The wait for executors of an earlier owner (awaited) ended in the same way.

Fix: the passing of time proves the end of a lease only while nobody else can renew it. When a lease has run out, the owner reads its key (linearizable); only leases that had ended before that read began count as ended. Nothing that another owner does can come before a read that still shows this one. A key of another owner ends the role at once; without an answer the tasks wait.

Tests of bwnode and bwschedule pass.

Cost: one read of the store for each series of lost executors. While the store does not answer, lost executors keep their tasks.

--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -200,6 +200,10 @@
 	latePassAt      bwclock.Time
 	// isUnconfirmed is set while the ownership is not confirmed and no orders are sent.
 	isUnconfirmed bool
+	// ownedAt is the latest time at which the owner's key is known to have been that of this owner. isReadingKey
+	// is set while the key is read.
+	ownedAt      bwclock.Time
+	isReadingKey bool
 }
 
 // New returns an Owner. It does nothing until Run is called.
@@ -373,9 +377,7 @@
 func (o *Owner) housekeep(now bwclock.Time) {
 	o.housekeptAt = now
 	o.recordConfirmation()
-	for _, id := range o.scheduler.Expire(now) {
-		o.endSession(id)
-	}
+	o.expireLeases(now)
 	o.storeExecutorList(now)
 	if o.canSendOrders() {
 		o.scheduler.AdjustPace(now)
--- a/bwschedule/release_test.go
+++ b/bwschedule/release_test.go
@@ -58,7 +58,7 @@
 	for reason, release := range map[string]func(h *loggedHarness, o bwschedule.Order){
 		"lease has ended": func(h *loggedHarness, _ bwschedule.Order) {
 			h.advance(5 * time.Second)
-			h.s.Expire(h.now)
+			h.s.Expire(h.now, h.now)
 		},
 		"executor has restarted": func(h *loggedHarness, o bwschedule.Order) {
 			h.s.HandleReport(o.Executor, bwexecutor.Report{Incarnation: 2}, h.now, h.now)
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -302,22 +302,41 @@
 	}
 }
 
-// Expire releases the tasks of executors whose leases have expired and stops awaiting
-// executors once their leases have expired. It removes executors that are unregistered and
-// run nothing, and returns their IDs.
-func (s *Scheduler) Expire(now bwclock.Time) []string {
+// HasExpired reports whether the lease of an executor with runs, or the wait for an awaited executor, has
+// ended by the given time, so that Expire has something to release once the pool was owned then.
+func (s *Scheduler) HasExpired(at bwclock.Time) bool {
+	for _, until := range s.awaited {
+		if !at.Before(until) {
+			return true
+		}
+	}
+	for _, e := range s.executors {
+		if len(e.Runs()) > 0 && e.HasLeaseExpired(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// Expire releases the tasks of executors whose leases had expired at ownedAt and stops awaiting
+// executors whose leases had expired then. ownedAt is the latest time at which this process is known to have
+// owned the pool; afterwards another owner may have extended the leases. Expire removes executors that are
+// unregistered and run nothing, and returns their IDs.
+func (s *Scheduler) Expire(ownedAt, now bwclock.Time) []string {
 	for id, until := range s.awaited {
-		if now.Before(until) {
+		if ownedAt.Before(until) {
 			continue
 		}
 		delete(s.awaited, id)
-		s.log.Warn("executor of the previous owner did not report until its lease ended", "executor", id)
+		s.log.Warn("executor of the previous owner did not report until its lease ended", "executor", id,
+			"ownedAge", age(ownedAt, now))
 	}
 	var removed []string
 	for _, id := range s.ExecutorIDs() {
 		e := s.executors[id]
-		if e.HasLeaseExpired(now) && len(e.Runs()) > 0 {
-			s.log.Warn("executor's lease has ended", "executor", id, "runs", len(e.Runs()), "silentFor", now.Sub(e.ReportedAt()).String())
+		if len(e.Runs()) > 0 && e.HasLeaseExpired(ownedAt) {
+			s.log.Warn("executor's lease has ended", "executor", id, "runs", len(e.Runs()), "silentFor", now.Sub(e.ReportedAt()).String(),
+				"ownedAge", age(ownedAt, now))
 			s.releaseAll(id, e, now)
 		}
 		if !e.IsRegistered() && len(e.Runs()) == 0 && s.awaited[id] == bwclock.Never && !e.IsCrashUnclear(now) {
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -177,7 +177,7 @@
 		for _, id := range h.s.ExecutorIDs() {
 			h.report(id, bwexecutor.Report{Incarnation: 1, Running: h.statuses(id, bwjob.TaskID{})})
 		}
-		h.s.Expire(h.now)
+		h.s.Expire(h.now, h.now)
 	}
 	assert.Equal(t, len(h.scheduleStarts()), 1)
 }
@@ -214,12 +214,12 @@
 	for range 34 {
 		h.advance(100 * time.Millisecond)
 		h.report(other, bwexecutor.Report{Incarnation: 1})
-		h.s.Expire(h.now)
+		h.s.Expire(h.now, h.now)
 		assert.Equal(t, len(h.scheduleStarts()), 0, "restarted %s after the last report", h.now.Sub(start))
 	}
 	h.advance(500 * time.Millisecond)
 	h.report(other, bwexecutor.Report{Incarnation: 1})
-	h.s.Expire(h.now)
+	h.s.Expire(h.now, h.now)
 	again := h.scheduleStarts()
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Run, 2)
--- a/bwschedule/suspect_test.go
+++ b/bwschedule/suspect_test.go
@@ -85,7 +85,7 @@
 		h.s.Executor("e0").RecordMissedReport()
 		h.advance(5 * time.Second)
 		h.s.Unregister("e0")
-		assert.Equal(t, len(h.s.Expire(h.now)), 0)
+		assert.Equal(t, len(h.s.Expire(h.now, h.now)), 0)
 		r := h.s.Executor("e0").Registration()
 		if hasCrashed {
 			r.Incarnation++
