bwschedule: a start in flight outlives the restart of its executor

A task could run twice: an executor restarts under its ID while a start order is in flight. The first report of the new incarnation released all tasks of the executor, that of the start too, which was then started elsewhere. The new incarnation has the ID that the order names and knows no fencing token, so it executes the order when it arrives; the answer was ignored.

Fix: a start that was sent and has no known outcome stays in the ledger of the new incarnation as a start without an answer, and keeps its task. It is settled like any other one, by a report that lists it or by an acknowledged stop and a report after that. Queued orders that were not sent are released as before.

Evidence: found by reading; no run has been seen to do it. TestStartInFlightAcrossRestartKeepsItsTask fails without the change in all three cases. TestUnansweredStartIsSettledAfterRestart passes before and after: the task does not wait for good. Tests of bwschedule pass.

The log of a release after a restart is tested with a run that was known to exist, since an unanswered start is no longer released there.

--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwexecutor"
 	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwschedule"
 )
@@ -215,14 +216,15 @@
 	}
 }
 
-// isRunCurrent reports whether the run of a start order is still recorded and not orphaned.
+// isRunCurrent reports whether the run of a start order is still recorded, not orphaned, and ordered from the
+// incarnation that last reported.
 func (o *Owner) isRunCurrent(order bwschedule.Order) bool {
 	e := o.scheduler.Executor(order.Executor)
 	if e == nil {
 		return false
 	}
 	r := e.Run(order.Task)
-	return r != nil && r.Number == order.Run && !r.IsOrphaned
+	return r != nil && r.Number == order.Run && !r.IsOrphaned && r.Phase == bwexecutor.Starting
 }
 
 // finishOrder passes the result of an order to the scheduler.
--- a/bwschedule/release_test.go
+++ b/bwschedule/release_test.go
@@ -61,7 +61,8 @@
 			h.s.Expire(h.now, h.now)
 		},
 		"executor has restarted": func(h *loggedHarness, o bwschedule.Order) {
-			h.s.HandleReport(o.Executor, bwexecutor.Report{Incarnation: 2}, h.now, h.now)
+			h.report(o.Executor, bwexecutor.Report{Incarnation: 1, Running: []bwexecutor.RunStatus{{Task: o.Task, Run: o.Run}}})
+			h.report(o.Executor, bwexecutor.Report{Incarnation: 2})
 		},
 		"stop acknowledged and run not listed": func(h *loggedHarness, o bwschedule.Order) {
 			h.s.HandleResult(bwschedule.Order{Kind: bwschedule.Stop, Executor: o.Executor, Task: o.Task, Run: o.Run}, bwschedule.Accepted, h.now)
@@ -76,7 +77,8 @@
 		lines := h.lines("task released")
 		assert.Equal(t, len(lines), 1, reason)
 		for field, want := range map[string]any{
-			"job": "job", "task": "0.0.0", "run": 1.0, "executor": "e0", "incarnation": 1.0, "reason": reason, "phase": "indeterminate", "orphaned": false,
+			"job": "job", "task": "0.0.0", "run": 1.0, "executor": "e0", "incarnation": 1.0, "reason": reason, "orphaned": false,
+			"phase": map[bool]string{true: "running", false: "indeterminate"}[reason == "executor has restarted"],
 		} {
 			assert.Equal(t, lines[0][field], want, "%s: %s", reason, field)
 		}
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -16,7 +16,7 @@
 	if e.HasReported() && e.Incarnation() != r.Incarnation {
 		s.log.Warn("executor has restarted", "executor", id, "incarnation", r.Incarnation, "previous", e.Incarnation(),
 			"lostRuns", len(e.Runs()), "evidenceAge", age(sentAt, now))
-		s.resetExecutor(e, now)
+		s.resetExecutor(e, s.startsInFlight(e), now)
 	}
 	if !e.HasReported() {
 		s.log.Info("executor has reported for the first time", "executor", id, "incarnation", r.Incarnation, "runs", len(r.Running),
@@ -41,32 +41,6 @@
 	delete(s.awaited, id)
 }
 
-// resetExecutor releases the tasks of an executor that has restarted, and records the crash.
-func (s *Scheduler) resetExecutor(e *bwexecutor.Executor, now bwclock.Time) {
-	lastReportAt := e.ReportedAt()
-	for _, run := range e.Runs() {
-		s.recordRelease(e, run, restarted, now)
-	}
-	lost := append(e.TakeLostRuns(), e.Reset()...)
-	for _, run := range lost {
-		if j := s.jobs[run.Task.Job]; j != nil && !run.IsOrphaned {
-			j.Release(run.Task, e.ID())
-		}
-	}
-	s.logLostTasks(e, lost, "executor has restarted", now)
-	if e.Registration().IsDraining {
-		// A draining executor ends by itself.
-		return
-	}
-	for _, run := range lost {
-		if run.Phase != bwexecutor.Starting && !run.IsOrphaned {
-			isEarly := lastReportAt.Sub(startOf(run)) < earlyCrashTime
-			c := bwjob.Crash{Run: run.Number, IsAlone: len(lost) == 1, IsEarly: isEarly, HasWorked: s.hasWorked(run, isEarly)}
-			s.recordCrash(run.Task, c, e.ID(), now)
-		}
-	}
-}
-
 // hasWorked reports whether a long-running task was available during the run. The reported share of
 // full speed does not tell it of a best-effort task, which may be slowed down.
 func (s *Scheduler) hasWorked(r *bwexecutor.Run, isEarly bool) bool {
@@ -82,17 +56,6 @@
 	return r.ConfirmedAt
 }
 
-// HandleRestart handles a reply that shows that the executor has restarted under another
-// incarnation.
-func (s *Scheduler) HandleRestart(id string, now bwclock.Time) {
-	if e := s.executors[id]; e != nil && e.HasReported() {
-		s.log.Warn("executor replied with another incarnation; its runs are lost", "executor", id, "previous", e.Incarnation(),
-			"lostRuns", len(e.Runs()))
-		s.resetExecutor(e, now)
-	}
-	s.resolveProbations(id, noIncarnation, now)
-}
-
 // handleEnd applies the end of one run.
 func (s *Scheduler) handleEnd(e *bwexecutor.Executor, end bwjob.End, now bwclock.Time) {
 	r := e.Run(end.Task)
--- /dev/null
+++ b/bwschedule/restart.go
@@ -0,0 +1,76 @@
+package bwschedule
+
+import (
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwexecutor"
+	"basilwood.example/basilwood/bwjob"
+)
+
+// expiredStart is the end of a start's lease that the clock of every incarnation has passed. The end that was
+// sent is a time on the clock of the earlier incarnation.
+const expiredStart = 1
+
+// resetExecutor releases the tasks of an executor that has restarted, and records the crash. The runs in
+// inFlight keep their tasks, because their starts may still take effect.
+func (s *Scheduler) resetExecutor(e *bwexecutor.Executor, inFlight map[bwjob.TaskID]*bwexecutor.Run, now bwclock.Time) {
+	lastReportAt := e.ReportedAt()
+	for _, run := range e.Runs() {
+		if inFlight[run.Task] == nil {
+			s.recordRelease(e, run, restarted, now)
+		}
+	}
+	lost := append(e.TakeLostRuns(), e.Reset()...)
+	for _, run := range lost {
+		if j := s.jobs[run.Task.Job]; j != nil && !run.IsOrphaned && inFlight[run.Task] != run {
+			j.Release(run.Task, e.ID())
+		}
+	}
+	for _, run := range inFlight {
+		s.keepStart(e, run)
+	}
+	s.logLostTasks(e, lost, "executor has restarted", now)
+	if e.Registration().IsDraining {
+		// A draining executor ends by itself.
+		return
+	}
+	for _, run := range lost {
+		if run.Phase != bwexecutor.Starting && !run.IsOrphaned {
+			isEarly := lastReportAt.Sub(startOf(run)) < earlyCrashTime
+			c := bwjob.Crash{Run: run.Number, IsAlone: len(lost) == 1, IsEarly: isEarly, HasWorked: s.hasWorked(run, isEarly)}
+			s.recordCrash(run.Task, c, e.ID(), now)
+		}
+	}
+}
+
+// startsInFlight returns the runs of an executor whose start orders were sent and have no known outcome. The
+// next incarnation accepts them, because orders name the executor by its ID, which it keeps.
+func (s *Scheduler) startsInFlight(e *bwexecutor.Executor) map[bwjob.TaskID]*bwexecutor.Run {
+	list := make(map[bwjob.TaskID]*bwexecutor.Run)
+	for id, r := range e.Runs() {
+		isSent := r.Phase == bwexecutor.Starting && r.StartExpiresAt > 0 || r.Phase == bwexecutor.Indeterminate
+		if isSent && r.ConfirmedAt == bwclock.Never {
+			list[id] = r
+		}
+	}
+	return list
+}
+
+// keepStart records a start order that the new incarnation of an executor may still execute. It is settled like
+// any start without an answer.
+func (s *Scheduler) keepStart(e *bwexecutor.Executor, r *bwexecutor.Run) {
+	e.Add(&bwexecutor.Run{Task: r.Task, Number: r.Number, Reserved: r.Reserved, Phase: bwexecutor.Indeterminate, OrderedAt: r.OrderedAt,
+		IsOrphaned: r.IsOrphaned, HasUnknownSize: r.HasUnknownSize, Pace: r.Pace, StartExpiresAt: expiredStart})
+	s.log.Info("start may reach the restarted executor; the task waits", "job", r.Task.Job, "task", r.Task, "run", r.Number, "executor", e.ID())
+}
+
+// HandleRestart handles a reply that shows that the executor has restarted under another
+// incarnation.
+func (s *Scheduler) HandleRestart(id string, now bwclock.Time) {
+	if e := s.executors[id]; e != nil && e.HasReported() {
+		s.log.Warn("executor replied with another incarnation; its runs are lost", "executor", id, "previous", e.Incarnation(),
+			"lostRuns", len(e.Runs()))
+		// An executor under another ID at the address refuses the orders in flight.
+		s.resetExecutor(e, nil, now)
+	}
+	s.resolveProbations(id, noIncarnation, now)
+}
--- /dev/null
+++ b/bwschedule/restart_test.go
@@ -0,0 +1,65 @@
+package bwschedule_test
+
+import (
+	"testing"
+	"time"
+
+	"basilwood.example/basilwood/bwexecutor"
+	"basilwood.example/basilwood/bwschedule"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a task that runs twice because its start reaches the restarted executor after the report that shows the restart.
+func TestStartInFlightAcrossRestartKeepsItsTask(t *testing.T) {
+	for name, results := range map[string][]bwschedule.Result{
+		"accepted later":   {bwschedule.Accepted},
+		"unanswered later": {bwschedule.Unanswered},
+		"not answered yet": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.submit("j", newStep(1000, 1))
+			o := h.s.Schedule(h.now)[0]
+			h.s.RecordStartLease(o, h.now.Add(lease).Millis())
+			h.advance(20 * time.Millisecond)
+			r := h.s.Executor(o.Executor).Registration()
+			r.Incarnation++
+			h.s.Register(r)
+			h.report(o.Executor, bwexecutor.Report{Incarnation: r.Incarnation})
+			for _, result := range results {
+				h.s.HandleResult(o, result, h.now)
+			}
+			for _, order := range h.s.Schedule(h.now) {
+				assert.Check(t, order.Kind != bwschedule.Start, "%+v", order)
+			}
+			h.advance(20 * time.Millisecond)
+			h.report(o.Executor, bwexecutor.Report{Incarnation: r.Incarnation, Running: []bwexecutor.RunStatus{{Task: o.Task, Run: o.Run, Percent: 100}}})
+			run := h.s.Executor(o.Executor).Run(o.Task)
+			assert.Assert(t, run != nil && !run.IsOrphaned, "%+v", run)
+		})
+	}
+}
+
+// A start that had no answer before a restart is settled by a stop that the new incarnation acknowledges.
+func TestUnansweredStartIsSettledAfterRestart(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", newStep(1000, 1))
+	o := h.s.Schedule(h.now)[0]
+	h.s.RecordStartLease(o, h.now.Add(lease).Millis())
+	h.s.HandleResult(o, bwschedule.Unanswered, h.now)
+	h.advance(500 * time.Millisecond)
+	h.crash(o.Executor)
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+		h.report("e0", bwexecutor.Report{Incarnation: h.s.Executor("e0").Incarnation()})
+		h.report("e1", bwexecutor.Report{Incarnation: h.s.Executor("e1").Incarnation()})
+		for _, order := range h.s.Schedule(h.now) {
+			h.s.HandleResult(order, bwschedule.Accepted, h.now)
+			if order.Kind == bwschedule.Start {
+				assert.Equal(t, order.Run, o.Run+1)
+				return
+			}
+		}
+	}
+	t.Fatal("the task is not started again")
+}
