bwschedule: a listed run is not released by the answer to its start

A task could be started beside its run: handleStartRefused keeps a run that a report has listed in the meantime and told it by the phase, but a run that is listed while its start is in flight stays Starting. Any refusal then released it, until the next report adopted the run.

A report that lists the run proves that it exists, whatever the answer says. Such a run is now taken for running.

Evidence: found by reading; an order is sent once, so the two contradict each other, and no run has been seen to do that. TestStartThatIsListedKeepsItsTaskWhateverItsResult fails without the change for all eight results.

--- a/bwschedule/result.go
+++ b/bwschedule/result.go
@@ -64,7 +64,11 @@
 // handleStartRefused handles results that prove that the start did not take effect.
 func (s *Scheduler) handleStartRefused(e *bwexecutor.Executor, r *bwexecutor.Run, result Result, now bwclock.Time) {
 	if r.Phase != bwexecutor.Starting {
+		return
+	}
+	if r.ConfirmedAt != bwclock.Never {
 		// A report has listed the run in the meantime.
+		r.Phase = bwexecutor.Running
 		return
 	}
 	j := s.jobs[r.Task.Job]
