bwowner: test that a fenced owner starts a refused task nowhere else

The answer "fence" says that a newer owner has called the executor, not that the run isn't there. The scheduler releases the task as after any refusal; only the end of the owner keeps it from being started on an executor that the newer owner hasn't called.

--- /dev/null
+++ b/bwowner/fenced_test.go
@@ -0,0 +1,102 @@
+package bwowner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwexecutor"
+	"basilwood.example/basilwood/bwfleet"
+	"basilwood.example/basilwood/bwjob"
+	"basilwood.example/basilwood/bwkv"
+	"basilwood.example/basilwood/bwowner"
+	"basilwood.example/basilwood/bwschedule"
+	"basilwood.example/basilwood/bwstandin"
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+const ownerKey = "nodes/owners/pool"
+
+// scriptedExecutors report that they run nothing, and answer orders as the test says.
+type scriptedExecutors struct {
+	onOrder func(ctx context.Context, o bwschedule.Order) bwschedule.Result
+
+	mu     sync.Mutex
+	starts []bwschedule.Order
+}
+
+func (x *scriptedExecutors) RenewLease(ctx context.Context, _ bwowner.Target, renewal bwowner.LeaseRenewal) bwowner.ExecutorReply {
+	bwclock.Sleep(ctx, max(renewal.MaxWait, time.Millisecond))
+	if ctx.Err() != nil {
+		return bwowner.ExecutorReply{Result: bwschedule.Unanswered}
+	}
+	return bwowner.ExecutorReply{Result: bwschedule.Accepted, Clock: time.Now().UnixMilli(), Report: bwexecutor.Report{Incarnation: 1}}
+}
+
+func (x *scriptedExecutors) Order(ctx context.Context, _ bwowner.Target, o bwschedule.Order, _, _ int64) bwowner.ExecutorReply {
+	if o.Kind == bwschedule.Start {
+		x.mu.Lock()
+		x.starts = append(x.starts, o)
+		x.mu.Unlock()
+	}
+	return bwowner.ExecutorReply{Result: x.onOrder(ctx, o)}
+}
+
+func (x *scriptedExecutors) started() []bwschedule.Order {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return append([]bwschedule.Order(nil), x.starts...)
+}
+
+// newOwner runs an owner of a pool of executors, which it has just claimed, until the test ends.
+func newOwner(t *testing.T, x *scriptedExecutors, executors int) *bwowner.Owner {
+	kv := bwstandin.NewKV(1)
+	r := kv.Transact(t.Context(), bwkv.Transaction{Set: []bwkv.Write{{Key: ownerKey, Value: []byte("{}")}}})
+	assert.Equal(t, r.Outcome, bwkv.Committed)
+	always := func() bool { return true }
+	o := bwowner.New(bwowner.Deps{
+		Store: kv, Executors: x, Clock: bwclock.New(), Log: hclog.NewNullLogger(),
+		IsOwnershipConfirmed: always, IsOwnershipFresh: always, IsRegistryFresh: always,
+		Placements: func() []bwfleet.Placement { return nil },
+		OnLost:     func(string, string) {},
+	}, bwowner.Ownership{Pool: "pool", Key: ownerKey, Fence: r.Revision, PlacementPrefix: "nodes/placements/pool/"},
+		bwowner.Settings{LeaseLength: 3500 * time.Millisecond, EndedJobRetention: time.Minute})
+	o.SetQueues([]bwfleet.Queue{queue})
+	var list []bwexecutor.Registration
+	for i := range executors {
+		list = append(list, bwexecutor.Registration{ID: fmt.Sprintf("e%d", i), Incarnation: 1, Pool: "pool", Address: fmt.Sprintf("10.9.0.%d:80", i),
+			DataCentre: "a", Rack: "r", Capacity: bwjob.Resources{CPU: 4000, MemoryMB: 8000}})
+	}
+	o.SetExecutors(list)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return o
+}
+
+var queue = bwfleet.Queue{Name: "q", Pool: "pool", Host: "h", Prefix: "/q/", MaxAttempts: 3, Stretch: 2, ObjectiveOffset: time.Second}
+
+// Guards against an owner that starts a task elsewhere after an executor has refused its fencing token.
+func TestFencedStartIsNotRepeatedOnAnotherExecutor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &scriptedExecutors{onOrder: func(context.Context, bwschedule.Order) bwschedule.Result { return bwschedule.Fenced }}
+		o := newOwner(t, x, 3)
+		time.Sleep(3 * time.Second)
+		step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+		assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.OK)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(x.started()), 1, "%v", x.started())
+	})
+}
