--- a/bwowner/fenced_test.go
+++ b/bwowner/fenced_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwexecutor"
 	"basilwood.example/basilwood/bwfleet"
+	"basilwood.example/basilwood/bwhttp"
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwowner"
@@ -25,6 +27,8 @@
 // scriptedExecutors report that they run nothing, and answer orders as the test says.
 type scriptedExecutors struct {
 	onOrder func(ctx context.Context, o bwschedule.Order) bwschedule.Result
+	// isOwnershipUnconfirmed is set while the owner must not act.
+	isOwnershipUnconfirmed atomic.Bool
 
 	mu     sync.Mutex
 	starts []bwschedule.Order
@@ -61,7 +65,7 @@
 	always := func() bool { return true }
 	o := bwowner.New(bwowner.Deps{
 		Store: kv, Executors: x, Clock: bwclock.New(), Log: hclog.NewNullLogger(),
-		IsOwnershipConfirmed: always, IsOwnershipFresh: always, IsRegistryFresh: always,
+		IsOwnershipConfirmed: func() bool { return !x.isOwnershipUnconfirmed.Load() }, IsOwnershipFresh: always, IsRegistryFresh: always,
 		Placements: func() []bwfleet.Placement { return nil },
 		OnLost:     func(string, string) {},
 	}, bwowner.Ownership{Pool: "pool", Key: ownerKey, Fence: r.Revision, PlacementPrefix: "nodes/placements/pool/"},
@@ -100,3 +104,36 @@
 		assert.Equal(t, len(x.started()), 1, "%v", x.started())
 	})
 }
+
+// Guards against a start that waits for a connection and is sent although its owner may no longer act, or has lost the pool.
+func TestStartThatWaitsIsNotSentOnceItsOwnerMayNotAct(t *testing.T) {
+	for name, lose := range map[string]func(x *scriptedExecutors, o *bwowner.Owner){
+		"unconfirmed": func(x *scriptedExecutors, _ *bwowner.Owner) { x.isOwnershipUnconfirmed.Store(true) },
+		"stopped": func(_ *scriptedExecutors, o *bwowner.Owner) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			o.Stop(ctx)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				permits := make(chan bool, 1)
+				x := &scriptedExecutors{onOrder: func(ctx context.Context, _ bwschedule.Order) bwschedule.Result {
+					time.Sleep(100 * time.Millisecond)
+					permits <- bwhttp.IsPermitted(ctx)
+					return bwschedule.NotSent
+				}}
+				o := newOwner(t, x, 1)
+				time.Sleep(3 * time.Second)
+				step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+				assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.OK)
+				time.Sleep(50 * time.Millisecond)
+				assert.Equal(t, len(x.started()), 1)
+				lose(x, o)
+				assert.Equal(t, <-permits, false)
+				time.Sleep(time.Second)
+				assert.Equal(t, len(x.started()), 1)
+			})
+		})
+	}
+}
