--- a/bwowner/fenced_test.go
+++ b/bwowner/owner_test.go
@@ -27,19 +27,39 @@
 // scriptedExecutors report that they run nothing, and answer orders as the test says.
 type scriptedExecutors struct {
 	onOrder func(ctx context.Context, o bwschedule.Order) bwschedule.Result
+	// onRenewal may be nil.
+	onRenewal func(ctx context.Context, executor string, call int) (reply bwowner.ExecutorReply, ok bool)
 	// isOwnershipUnconfirmed is set while the owner must not act.
 	isOwnershipUnconfirmed atomic.Bool
 
-	mu     sync.Mutex
-	starts []bwschedule.Order
+	mu       sync.Mutex
+	starts   []bwschedule.Order
+	renewals map[string][]bwowner.LeaseRenewal
 }
 
-func (x *scriptedExecutors) RenewLease(ctx context.Context, _ bwowner.Target, renewal bwowner.LeaseRenewal) bwowner.ExecutorReply {
+func (x *scriptedExecutors) RenewLease(ctx context.Context, target bwowner.Target, renewal bwowner.LeaseRenewal) bwowner.ExecutorReply {
+	x.mu.Lock()
+	if x.renewals == nil {
+		x.renewals = make(map[string][]bwowner.LeaseRenewal)
+	}
+	x.renewals[target.ID] = append(x.renewals[target.ID], renewal)
+	call := len(x.renewals[target.ID])
+	x.mu.Unlock()
+	if x.onRenewal != nil {
+		if reply, ok := x.onRenewal(ctx, target.ID, call); ok {
+			return reply
+		}
+	}
 	bwclock.Sleep(ctx, max(renewal.MaxWait, time.Millisecond))
 	if ctx.Err() != nil {
 		return bwowner.ExecutorReply{Result: bwschedule.Unanswered}
 	}
-	return bwowner.ExecutorReply{Result: bwschedule.Accepted, Clock: time.Now().UnixMilli(), Report: bwexecutor.Report{Incarnation: 1}}
+	return reportOf()
+}
+
+// reportOf returns a report of an executor with the given runs.
+func reportOf(running ...bwexecutor.RunStatus) bwowner.ExecutorReply {
+	return bwowner.ExecutorReply{Result: bwschedule.Accepted, Clock: time.Now().UnixMilli(), Report: bwexecutor.Report{Incarnation: 1, Running: running}}
 }
 
 func (x *scriptedExecutors) Order(ctx context.Context, _ bwowner.Target, o bwschedule.Order, _, _ int64) bwowner.ExecutorReply {
@@ -59,7 +79,10 @@
 
 // newOwner runs an owner of a pool of executors, which it has just claimed, until the test ends.
 func newOwner(t *testing.T, x *scriptedExecutors, executors int) *bwowner.Owner {
-	kv := bwstandin.NewKV(1)
+	return newOwnerOf(t, bwstandin.NewKV(1), x, executors)
+}
+
+func newOwnerOf(t *testing.T, kv *bwstandin.KV, x *scriptedExecutors, executors int) *bwowner.Owner {
 	r := kv.Transact(t.Context(), bwkv.Transaction{Set: []bwkv.Write{{Key: ownerKey, Value: []byte("{}")}}})
 	assert.Equal(t, r.Outcome, bwkv.Committed)
 	always := func() bool { return true }
@@ -137,3 +160,89 @@
 		})
 	}
 }
+
+// Guards against a start that waits for others and is sent although its owner stops as planned.
+func TestStoppingOwnerSendsNoWaitingStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &scriptedExecutors{onOrder: func(context.Context, bwschedule.Order) bwschedule.Result {
+			time.Sleep(100 * time.Millisecond)
+			return bwschedule.Accepted
+		}}
+		o := newOwner(t, x, 1)
+		time.Sleep(3 * time.Second)
+		step := bwjob.Step{Count: 6, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+		assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.OK)
+		time.Sleep(50 * time.Millisecond)
+		inFlight := len(x.started())
+		assert.Assert(t, inFlight > 0 && inFlight < step.Count)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Assert(t, o.Stop(ctx))
+		assert.Equal(t, len(x.started()), inFlight)
+	})
+}
+
+// Guards against an owner that goes on after an executor has refused to renew its lease for its fencing token.
+func TestOwnerEndsWhenARenewalIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &scriptedExecutors{onOrder: func(context.Context, bwschedule.Order) bwschedule.Result { return bwschedule.Accepted }}
+		x.onRenewal = func(_ context.Context, executor string, call int) (bwowner.ExecutorReply, bool) {
+			return bwowner.ExecutorReply{Result: bwschedule.Fenced}, executor == "e0" && call > 2
+		}
+		o := newOwner(t, x, 2)
+		time.Sleep(5 * time.Second)
+		step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+		assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.Refused)
+		assert.Equal(t, len(x.started()), 0)
+	})
+}
+
+// Guards against ends that are acknowledged, and leases that are granted, to an executor that may have restarted since.
+func TestFirstRenewalAfterAFailureGrantsAndAcknowledgesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &scriptedExecutors{onOrder: func(context.Context, bwschedule.Order) bwschedule.Result { return bwschedule.Accepted }}
+		x.onRenewal = func(ctx context.Context, _ string, call int) (bwowner.ExecutorReply, bool) {
+			if call != 4 {
+				return bwowner.ExecutorReply{}, false
+			}
+			<-ctx.Done()
+			return bwowner.ExecutorReply{Result: bwschedule.Unanswered}, true
+		}
+		newOwner(t, x, 1)
+		time.Sleep(10 * time.Second)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		renewals := x.renewals["e0"]
+		assert.Assert(t, renewals[3].LeaseUntil > 0 && renewals[5].LeaseUntil > 0)
+		assert.Equal(t, renewals[4].LeaseUntil, int64(0))
+		assert.Equal(t, renewals[4].AckedUpTo, int64(0))
+	})
+}
+
+// Guards against a task that is started again while a lease that a previous owner has granted may last.
+func TestNewOwnerWaitsForLeaseOfThePreviousOneAfterASingleReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := bwstandin.NewKV(1)
+		spec := &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}}}
+		record, err := bwjob.New(spec, bwclock.New().Now()).Encode()
+		assert.NilError(t, err)
+		kv.Put(bwowner.JobPrefix("pool")+"job", record)
+		kv.Put("executors/pool", []byte(`[{"id":"e0","address":"10.9.0.0:80"}]`))
+		x := &scriptedExecutors{onOrder: func(context.Context, bwschedule.Order) bwschedule.Result { return bwschedule.Accepted }}
+		x.onRenewal = func(ctx context.Context, executor string, call int) (bwowner.ExecutorReply, bool) {
+			if executor != "e0" {
+				return bwowner.ExecutorReply{}, false
+			}
+			if call == 1 {
+				return reportOf(bwexecutor.RunStatus{Task: bwjob.TaskID{Job: "job"}, Run: 1, Percent: 100}), true
+			}
+			<-ctx.Done()
+			return bwowner.ExecutorReply{Result: bwschedule.Unanswered}, true
+		}
+		newOwnerOf(t, kv, x, 2)
+		time.Sleep(3500 * time.Millisecond)
+		assert.Equal(t, len(x.started()), 0)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(x.started()), 1)
+	})
+}
--- a/bwrelay/lost_call_test.go
+++ b/bwrelay/lost_call_test.go
@@ -47,10 +47,10 @@
 	}
 }
 
-// listlessRelay accepts all calls without saying what the executors run.
-type listlessRelay struct{}
+// listlessRelay answers all calls with one result, without saying what the executors run.
+type listlessRelay struct{ result int32 }
 
-func (listlessRelay) Carry(stream bwrelay.DRPCRelay_CarryStream) error {
+func (r listlessRelay) Carry(stream bwrelay.DRPCRelay_CarryStream) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -58,7 +58,7 @@
 		}
 		replies := &bwrelay.Replies{}
 		for _, call := range message.GetCalls() {
-			replies.Replies = append(replies.Replies, &bwrelay.Reply{Id: call.GetId(), Result: int32(bwschedule.Accepted)})
+			replies.Replies = append(replies.Replies, &bwrelay.Reply{Id: call.GetId(), Result: r.result})
 		}
 		if err := stream.Send(replies); err != nil {
 			return err
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against tasks that are started again because a relayed reply without the lists counts as a report that nothing runs.
-func TestRelayedReplyWithoutListsIsNoReport(t *testing.T) {
+// withListlessRelay runs f with a client whose calls go through a relay that gives the result.
+func withListlessRelay(t *testing.T, result int32, f func(t *testing.T, client *bwrelay.Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		const relay = "10.0.0.0:70"
 		network, clock, log := bwpipe.New(), bwclock.New(), hclog.NewNullLogger()
@@ -76,13 +76,13 @@
 		listener := network.Listen(relay)
 		go func() {
 			defer close(served)
-			_ = bwmesh.Serve(ctx, listener, bwmesh.Services{Node: &bwmesh.DRPCNodeUnimplementedServer{}, Relay: listlessRelay{}}, nil)
+			_ = bwmesh.Serve(ctx, listener, bwmesh.Services{Node: &bwmesh.DRPCNodeUnimplementedServer{}, Relay: listlessRelay{result}}, nil)
 		}()
 		mesh := bwmesh.New(network.Dialer(ownerHost))
 		client := bwrelay.NewClient("pool", &recordingExecutors{name: "direct"}, mesh.Conn, clock, log, bwrelay.WithLimits(bwrelay.Limits{MinExecutors: 1, ExecutorsPerRelay: 4}))
 		client.SetMembers([]bwrelay.Member{{Address: relay, DataCentre: "a"}})
 		client.SetTargets(targetsIn("a", 4))
-		assert.Equal(t, client.RenewLease(t.Context(), target(0), bwowner.LeaseRenewal{Fence: 7}).Result, bwschedule.Unanswered)
+		f(t, client)
 		client.Close()
 		mesh.Close()
 		time.Sleep(2 * time.Second)
@@ -90,3 +90,39 @@
 		<-served
 	})
 }
+
+// Guards against tasks that are started again because a relayed reply without the lists counts as a report that nothing runs.
+func TestRelayedReplyWithoutListsIsNoReport(t *testing.T) {
+	withListlessRelay(t, int32(bwschedule.Accepted), func(t *testing.T, client *bwrelay.Client) {
+		assert.Equal(t, client.RenewLease(t.Context(), target(0), bwowner.LeaseRenewal{Fence: 7}).Result, bwschedule.Unanswered)
+	})
+}
+
+// Guards against a task that is started again because a result that only a later version of the relay knows counts as a refusal.
+func TestUnknownRelayedResultMakesNoClaim(t *testing.T) {
+	for _, result := range []int32{int32(bwschedule.Invalid) + 1, -1} {
+		withListlessRelay(t, result, func(t *testing.T, client *bwrelay.Client) {
+			assert.Equal(t, client.Order(t.Context(), target(0), startOrder(0), 7, 9).Result, bwschedule.Unanswered)
+		})
+	}
+}
+
+// Guards against a start that a relay sends after its owner has given it up.
+func TestRelayMayNotSendAfterTheTimeoutOfTheCall(t *testing.T) {
+	withFixture(t, func(t *testing.T, x *fixture) {
+		x.order(t, 8)
+		before := make(map[string]int)
+		for address, relay := range x.relays {
+			before[address], _ = relay.counts()
+			relay.delay = time.Second
+		}
+		x.order(t, 8)
+		time.Sleep(2 * time.Second)
+		for address, relay := range x.relays {
+			for _, isPermitted := range relay.permits[before[address]:] {
+				assert.Equal(t, isPermitted, false)
+			}
+			relay.delay = 0
+		}
+	})
+}
--- a/bwschedule/proof_test.go
+++ b/bwschedule/proof_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwexecutor"
+	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwschedule"
 	"gotest.tools/v3/assert"
 )
@@ -61,3 +62,43 @@
 		assert.Equal(t, len(h.s.Schedule(h.now)), 0, result.String())
 	}
 }
+
+// Guards against a task that is started again, or whose end is lost, because a report that may not hold all ends counts as complete.
+func TestReportWithTheMostEndsDoesNotProveThatAStoppedRunIsGone(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", newStep(1000, 1))
+	o := h.s.Schedule(h.now)[0]
+	h.s.HandleResult(o, bwschedule.Unanswered, h.now)
+	h.advance(time.Second)
+	h.report(o.Executor, bwexecutor.Report{Incarnation: 1})
+	stop := h.s.Schedule(h.now)[0]
+	assert.Equal(t, stop.Kind, bwschedule.Stop)
+	h.s.HandleResult(stop, bwschedule.Accepted, h.now)
+	h.advance(50 * time.Millisecond)
+	full := bwexecutor.Report{Incarnation: 1}
+	for n := int64(1); n <= 500; n++ {
+		full.Ended = append(full.Ended, bwexecutor.NumberedEnd{Number: n, End: bwjob.End{Task: bwjob.TaskID{Job: "other", Index: int(n)}, Run: 1, Kind: bwjob.EndDone}})
+	}
+	h.report(o.Executor, full)
+	assert.Equal(t, len(h.scheduleStarts()), 0)
+	h.advance(50 * time.Millisecond)
+	h.report(o.Executor, bwexecutor.Report{Incarnation: 1, Ended: []bwexecutor.NumberedEnd{{Number: 501, End: bwjob.End{Task: o.Task, Run: o.Run, Kind: bwjob.EndDone}}}})
+	assert.Equal(t, h.s.Job("j").Phase(), bwjob.Phase_done)
+}
+
+// Guards against a task that is started again because the answer to an earlier start of it comes late.
+func TestResultOfAnEarlierRunDoesNotReleaseTheTask(t *testing.T) {
+	for _, result := range []bwschedule.Result{bwschedule.NotSent, bwschedule.OtherIncarnation, bwschedule.RunTooOld} {
+		h := newHarness(t, 1)
+		h.submit("j", newStep(1000, 1))
+		first := h.s.Schedule(h.now)[0]
+		h.crash("e0")
+		second := h.s.Schedule(h.now)[0]
+		assert.Equal(t, second.Run, first.Run+1)
+		h.s.HandleResult(first, result, h.now)
+		assert.Assert(t, h.s.Executor("e0").Run(second.Task) != nil, result.String())
+		h.advance(time.Second)
+		h.reportAll()
+		assert.Equal(t, len(h.scheduleStarts()), 0, result.String())
+	}
+}
