--- a/bwschedule/proof_test.go
+++ b/bwschedule/proof_test.go
@@ -102,3 +102,23 @@
 		assert.Equal(t, len(h.scheduleStarts()), 0, result.String())
 	}
 }
+
+// Guards against a task that is started again because the end of an earlier run of it is listed late.
+func TestEndOfAnEarlierRunDoesNotReleaseTheTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", newStep(1000, 1))
+	first := h.s.Schedule(h.now)[0]
+	h.s.HandleResult(first, bwschedule.Unanswered, h.now)
+	h.advance(time.Second)
+	h.report("e0", bwexecutor.Report{Incarnation: 1})
+	h.s.HandleResult(h.s.Schedule(h.now)[0], bwschedule.Accepted, h.now)
+	h.advance(50 * time.Millisecond)
+	h.report("e0", bwexecutor.Report{Incarnation: 1})
+	second := h.scheduleStarts()[0]
+	assert.Equal(t, second.Run, first.Run+1)
+	h.reportEnd(first, bwjob.EndStopped)
+	h.advance(time.Second)
+	h.reportAll()
+	assert.Assert(t, h.s.Executor("e0").Run(second.Task) != nil)
+	assert.Equal(t, len(h.scheduleStarts()), 0)
+}
