bwowner: an executor's clock is read from its reports only

A task could run twice: an executor restarts under its ID while an order is unanswered. The reply from before the restart arrives after the first report of the new incarnation. Its clock is far ahead of the new one, so the lease of the new incarnation, 3.5 s long, counted as ended at once and its runs were released.

Cause: finishOrder recorded the clock of every reply. A reply to an order does not name the incarnation, whose clock starts anew, and replies on different connections may overtake each other.

Fix: the clock is taken from replies with a report, which name the incarnation. They come at least every 1.5 s.

Evidence: found by reading; a restart within the 0.4 s of an order has not been seen.

--- a/bwowner/owner_test.go
+++ b/bwowner/owner_test.go
@@ -27,6 +27,8 @@
 // scriptedExecutors report that they run nothing, and answer orders as the test says.
 type scriptedExecutors struct {
 	onOrder func(ctx context.Context, o bwschedule.Order) bwschedule.Result
+	// orderClock is the clock in the answers to orders.
+	orderClock int64
 	// onRenewal may be nil.
 	onRenewal func(ctx context.Context, executor string, call int) (reply bwowner.ExecutorReply, ok bool)
 	// isOwnershipUnconfirmed is set while the owner must not act.
@@ -68,7 +70,7 @@
 		x.starts = append(x.starts, o)
 		x.mu.Unlock()
 	}
-	return bwowner.ExecutorReply{Result: x.onOrder(ctx, o)}
+	return bwowner.ExecutorReply{Result: x.onOrder(ctx, o), Clock: x.orderClock}
 }
 
 func (x *scriptedExecutors) started() []bwschedule.Order {
@@ -246,3 +248,34 @@
 		assert.Equal(t, len(x.started()), 1)
 	})
 }
+
+// Guards against an answer from before a restart whose clock ends the lease of the new incarnation.
+func TestClockOfEarlierIncarnationEndsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var restartedBy atomic.Pointer[bwschedule.Order]
+		x := &scriptedExecutors{orderClock: time.Now().Add(time.Hour).UnixMilli()}
+		x.onOrder = func(_ context.Context, o bwschedule.Order) bwschedule.Result {
+			if o.Kind == bwschedule.Start {
+				restartedBy.CompareAndSwap(nil, &o)
+				time.Sleep(300 * time.Millisecond)
+			}
+			return bwschedule.Accepted
+		}
+		x.onRenewal = func(_ context.Context, executor string, _ int) (bwowner.ExecutorReply, bool) {
+			time.Sleep(100 * time.Millisecond)
+			o := restartedBy.Load()
+			if o == nil || o.Executor != executor {
+				return reportOf(), true
+			}
+			reply := reportOf(bwexecutor.RunStatus{Task: o.Task, Run: o.Run, Percent: 100})
+			reply.Report.Incarnation = 2
+			return reply, true
+		}
+		o := newOwner(t, x, 2)
+		time.Sleep(3 * time.Second)
+		step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+		assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.OK)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(x.started()), 1, "%v", x.started())
+	})
+}
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -227,12 +227,12 @@
 	return r != nil && r.Number == order.Run && !r.IsOrphaned && r.Phase == bwexecutor.Starting
 }
 
-// finishOrder passes the result of an order to the scheduler.
+// finishOrder passes the result of an order to the scheduler. The clock in the reply is not used: it may be that of
+// an earlier incarnation, which only reports name.
 func (o *Owner) finishOrder(order bwschedule.Order, reply ExecutorReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.deps.Clock.Now()
-	o.observeClock(order.Executor, reply, now)
 	if reply.Result == bwschedule.Accepted {
 		o.scheduler.HandleResult(order, reply.Result, now)
 		return
@@ -241,7 +241,7 @@
 	o.requestPass()
 }
 
-// observeClock updates the scheduler's estimate of an executor's clock from a reply.
+// observeClock updates the scheduler's estimate of an executor's clock from a reply with a report.
 func (o *Owner) observeClock(id string, reply ExecutorReply, now bwclock.Time) {
 	if e := o.scheduler.Executor(id); e != nil && reply.Clock > 0 {
 		e.SyncClock(reply.Clock, now)
