bwowner: a new incarnation gets tasks once the ownership is confirmed

A task could run twice: an owner that has been replaced and does not know it yet is kept from starting tasks by the fencing token that its successor has shown to each executor. An executor that restarts forgets that token. If the successor does not reach it again at once, it accepts a start from the replaced owner, whose successor has started the task elsewhere, because it had heard from all executors.

Fix: an executor gets tasks only once the owner's key, read after the first report of its incarnation, still shows this owner. A later owner then finds the executor on the stored list and calls this very incarnation before it starts anything. A read covers all executors that have reported by then; reads are at least 20 ms apart.

Evidence: found by reading and reproduced in simulated time. Tests of bwnode, bwowner, bwexecutor and bwschedule pass.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -255,6 +255,9 @@
 // ReportedAt returns when the latest report arrived.
 func (e *Executor) ReportedAt() bwclock.Time { return e.reportedAt }
 
+// ReportedSince returns when the current incarnation reported for the first time.
+func (e *Executor) ReportedSince() bwclock.Time { return e.reportedSince }
+
 // IsNew reports whether the current incarnation has reported for the first time recently.
 func (e *Executor) IsNew(now bwclock.Time) bool { return now.Sub(e.reportedSince) < failureWindow }
 
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -217,15 +217,14 @@
 	return list
 }
 
-// admitExecutors allows tasks to be placed on the executors of a list that has been stored,
-// unless a later list has removed them again.
+// admitExecutors records a list that has been stored, and allows tasks to be placed on its executors.
 func (o *Owner) admitExecutors(list []Target) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.storedExecutors = make(map[string]bool, len(list))
 	for _, target := range list {
-		if e := o.scheduler.Executor(target.ID); e != nil && o.listedExecutors[target.ID] {
-			e.SetAdmitted(true)
-		}
+		o.storedExecutors[target.ID] = true
 	}
+	o.admitConfirmed()
 	o.requestPass()
 }
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -189,8 +189,10 @@
 	routed  map[string]bool
 	placed  map[string]bool
 	yielded map[string]yieldedJob
-	// listedExecutors holds the executors on the stored list, or on the list being written.
+	// listedExecutors holds the executors on the stored list, or on the list being written, and storedExecutors
+	// those on the list that was stored last.
 	listedExecutors map[string]bool
+	storedExecutors map[string]bool
 	listChangedAt   bwclock.Time
 	isReady         bool
 	isStopping      bool
@@ -201,9 +203,11 @@
 	// isUnconfirmed is set while the ownership is not confirmed and no orders are sent.
 	isUnconfirmed bool
 	// ownedAt is the latest time at which the owner's key is known to have been that of this owner. isReadingKey
-	// is set while the key is read.
-	ownedAt      bwclock.Time
-	isReadingKey bool
+	// is set while the key is read, and hasNewIncarnation if an incarnation of an executor has reported for the
+	// first time since.
+	ownedAt           bwclock.Time
+	isReadingKey      bool
+	hasNewIncarnation bool
 }
 
 // New returns an Owner. It does nothing until Run is called.
--- /dev/null
+++ b/bwowner/ownership.go
@@ -0,0 +1,87 @@
+package bwowner
+
+import (
+	"errors"
+	"time"
+
+	"basilwood.example/basilwood/bwclock"
+	"basilwood.example/basilwood/bwkv"
+)
+
+const (
+	// keyReadInterval is the minimum time between two reads of the owner's key. It batches executors that report
+	// for the first time one after the other.
+	keyReadInterval = 20 * time.Millisecond
+	// keyRetryDelay is the delay before another attempt to read the owner's key.
+	keyRetryDelay = 100 * time.Millisecond
+)
+
+// expireLeases releases what executors lose with their leases. A lease that has expired according to this
+// owner's record may have been extended by a successor of which it does not know yet. So the lease counts as
+// expired only once the owner's key, read after that, shows no successor. The caller holds the lock.
+func (o *Owner) expireLeases(now bwclock.Time) {
+	for _, id := range o.scheduler.Expire(o.ownedAt, now) {
+		o.endSession(id)
+	}
+	o.confirmIfNeeded(now)
+}
+
+// admitConfirmed allows tasks to be placed on the executors of the stored list whose current incarnation
+// reported before the pool was last known to be owned. An incarnation that a successor has called refuses the
+// fencing token of this owner; one that has started since then would not. The caller holds the lock.
+func (o *Owner) admitConfirmed() {
+	for _, id := range o.scheduler.ExecutorIDs() {
+		e := o.scheduler.Executor(id)
+		e.SetAdmitted(o.storedExecutors[id] && o.listedExecutors[id] && e.HasReported() && !o.ownedAt.Before(e.ReportedSince()))
+	}
+}
+
+// confirmIfNeeded reads the owner's key if the end of a lease or a new incarnation of an executor needs that. The
+// caller holds the lock.
+func (o *Owner) confirmIfNeeded(now bwclock.Time) {
+	if o.isReadingKey || !o.hasNewIncarnation && !o.scheduler.HasExpired(now) {
+		return
+	}
+	o.isReadingKey, o.hasNewIncarnation = true, false
+	o.spawn("confirmation", o.confirmOwnership)
+}
+
+// confirmOwnership reads the owner's key until it knows whether the pool still belonged to this owner after
+// the call began.
+func (o *Owner) confirmOwnership() {
+	for failures := 0; o.ctx.Err() == nil; failures++ {
+		sentAt := o.deps.Clock.Now()
+		item, err := o.deps.Store.Get(o.ctx, o.ownership.Key)
+		switch {
+		case err == nil && item.Revision == o.ownership.Fence:
+			o.recordOwned(sentAt)
+			bwclock.Sleep(o.ctx, keyReadInterval)
+			o.finishReadingKey()
+			return
+		case err == nil || errors.Is(err, bwkv.ErrNotFound):
+			o.loseOwnership("owner's key has changed")
+			return
+		case failures == 0:
+			o.log.Warn("cannot read the owner's key; expired leases are kept", "error", err.Error())
+		}
+		bwclock.Sleep(o.ctx, keyRetryDelay)
+	}
+}
+
+// recordOwned records that this process owned the pool at a time, and requests a pass that expires leases.
+func (o *Owner) recordOwned(at bwclock.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ownedAt = at
+	o.admitConfirmed()
+	o.housekeptAt = bwclock.Never
+	o.requestPass()
+}
+
+// finishReadingKey allows another read, and starts it if something has needed one since the last.
+func (o *Owner) finishReadingKey() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isReadingKey = false
+	o.confirmIfNeeded(o.deps.Clock.Now())
+}
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -355,7 +355,7 @@
 	now := o.deps.Clock.Now()
 	switch reply.Result {
 	case bwschedule.Accepted:
-		o.scheduler.HandleReport(target.ID, reply.Report, sent, now)
+		o.handleReport(target.ID, reply.Report, sent, now)
 		o.observeClock(target.ID, reply, now)
 		o.assumeFullLease(target.ID, now)
 		o.deps.Metrics.observeReport(now.Sub(sent))
@@ -371,3 +371,14 @@
 	}
 	return false
 }
+
+// handleReport passes a report to the scheduler. A new incarnation gets no tasks until the ownership is confirmed.
+// The caller holds the lock.
+func (o *Owner) handleReport(id string, r bwexecutor.Report, sent, now bwclock.Time) {
+	o.scheduler.HandleReport(id, r, sent, now)
+	if e := o.scheduler.Executor(id); e != nil && o.ownedAt.Before(e.ReportedSince()) {
+		e.SetAdmitted(false)
+		o.hasNewIncarnation = true
+		o.confirmIfNeeded(now)
+	}
+}
