bwownership: a claim without an owner waits for the grace

The key of an owner goes away while its process lives, and no reply shows that it has noticed.

Fix: without an owner's key the grace is always waited for. It delays only the tasks of loaded jobs, and only while an executor on the stored list does not answer.

--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -101,8 +101,8 @@
 	Pool string
 	// ExpectedRevision is the revision that the owner's key must have; 0 if there is no key.
 	ExpectedRevision int64
-	// PreviousOwnerMayAct is set if a previous owner may still send orders: one is known, and
-	// it is not known to have stopped.
+	// PreviousOwnerMayAct is set if a previous owner is not known to have stopped, so that it may still
+	// send orders.
 	PreviousOwnerMayAct bool
 	// Reason says why the pool needs an owner.
 	Reason string
@@ -418,8 +418,8 @@
 		return "owner has released the pool", false
 	}
 	if !isOwned {
-		previous, hadOwner := v.lastOwners[pool]
-		return "no owner", hadOwner && !v.hasStopped(pool, previous)
+		// Whoever held the key may not know yet that it has gone away.
+		return "no owner", true
 	}
 	if owner.Incarnation == v.self.Incarnation {
 		return "own key without an owner here", false
@@ -448,15 +448,6 @@
 	}
 }
 
-// hasStopped reports whether a previous owner is known not to act for the pool any longer.
-func (v *View) hasStopped(pool string, previous Owner) bool {
-	if previous.Incarnation == v.self.Incarnation {
-		return true
-	}
-	h := v.pings[previous.Address]
-	return h != nil && h.repliedAt != bwclock.Never && (h.reply.Incarnation != previous.Incarnation || !h.reply.ActivePools[pool])
-}
-
 // rank returns this node's position among the successors for a pool; 0 is the first.
 func (v *View) rank(pool string, poolCounts map[string]int) int {
 	current := v.owners[pool].Incarnation
