bwnode: the grace of an owner outlives its successor

The third owner claimed without the grace, because the owner before it had stopped, and started a task that the first one still kept at work.

Fix: the key of an owner tells whether an earlier one might still act when it was written, at the claim and at the release. A successor within 6 s of that waits for the grace. A release later than that, which is the rule, waits for nothing, as before. Versions without the field read and write keys as before.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -45,7 +45,8 @@
 			continue
 		}
 		if pool, ok := strings.CutPrefix(key, prefixOwners); ok {
-			owners[pool] = bwownership.Owner{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, IsReleased: v.IsReleased}
+			owners[pool] = bwownership.Owner{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision,
+				IsReleased: v.IsReleased, EarlierOwnerMayAct: v.EarlierOwnerMayAct}
 		} else if strings.HasPrefix(key, prefixMembers) {
 			members = append(members, bwownership.Member{Incarnation: v.Incarnation, Address: v.Address, Revision: item.Revision, Cores: v.Cores})
 			dataCentres[v.Incarnation] = v.DataCentre
@@ -159,7 +160,9 @@
 		delete(n.claiming, c.Pool)
 		n.mu.Unlock()
 	}()
-	value, err := json.Marshal(n.keyValue())
+	claimed := n.keyValue()
+	claimed.EarlierOwnerMayAct = c.PreviousOwnerMayAct
+	value, err := json.Marshal(claimed)
 	if err != nil {
 		n.log.Error("failed to encode the owner's key", "error", err.Error())
 		return
@@ -194,6 +197,10 @@
 		r = n.newOwner(c, key, fence)
 	}
 	n.roles[c.Pool] = r
+	delete(n.graceEnds, c.Pool)
+	if c.PreviousOwnerMayAct {
+		n.graceEnds[c.Pool] = n.deps.Clock.Now().Add(leaseTTL)
+	}
 	ctx := n.ctx
 	relays := n.relayClients[c.Pool]
 	n.spawn(func() {
--- a/bwnode/lease.go
+++ b/bwnode/lease.go
@@ -8,6 +8,7 @@
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwkv"
+	"basilwood.example/basilwood/bwownership"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -15,7 +16,7 @@
 	// leaseTTL is how long the store keeps a node's keys without a renewal. It is longer
 	// than usual outages of the store. Nodes that have ended are replaced much sooner,
 	// because their successors ping them.
-	leaseTTL = 6 * time.Second
+	leaseTTL = bwownership.LeaseTTL
 	// renewInterval allows several renewals within the time for which an owner may answer
 	// that a job does not exist.
 	renewInterval = 500 * time.Millisecond
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -127,6 +127,8 @@
 	DataCentre string `json:"dataCentre,omitempty"`
 	// IsReleased tells the successor that the owner has stopped.
 	IsReleased bool `json:"isReleased,omitempty"`
+	// EarlierOwnerMayAct tells the successor that the owner before this one may still act.
+	EarlierOwnerMayAct bool `json:"earlierOwnerMayAct,omitempty"`
 }
 
 // Node is one node of the job scheduler. It is safe for concurrent use.
@@ -156,6 +158,8 @@
 	view          *bwownership.View
 	calls         *callTracker
 	roles         map[string]role
+	// graceEnds holds, by role, the time until which the owner before this node may act.
+	graceEnds     map[string]bwclock.Time
 	claiming      map[string]bool
 	pinging       map[string]bool
 	registrations map[string][]bwexecutor.Registration
@@ -181,6 +185,7 @@
 		maxOwnersAge:        maxOwnersAge(settings.MaxVisibilityDelay),
 		maxCapacityDelay:    settings.MaxCapacityDelay,
 		roles:               make(map[string]role),
+		graceEnds:           make(map[string]bwclock.Time),
 		claiming:            make(map[string]bool),
 		pinging:             make(map[string]bool),
 		decodedExecutors:    make(map[string]bwexecutor.Registration),
@@ -401,9 +406,11 @@
 	isSettled := r.Stop(ctx)
 	n.mu.Lock()
 	delete(n.roles, name)
+	isInGrace := n.deps.Clock.Now().Before(n.graceEnds[name])
 	n.mu.Unlock()
 	released := n.keyValue()
 	released.IsReleased = true
+	released.EarlierOwnerMayAct = isInGrace
 	value, err := json.Marshal(released)
 	if err != nil {
 		n.log.Error("failed to encode the owner's key", "error", err.Error())
--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -23,6 +23,9 @@
 )
 
 const (
+	// LeaseTTL is the TTL of the lease to which the keys of a node are attached. A node that is replaced
+	// without knowing it acts for at most this time since it was last certain of its ownership.
+	LeaseTTL = 6 * time.Second
 	// PingInterval is the time between pings to an owner.
 	PingInterval = 300 * time.Millisecond
 	// silenceTimeout is how long an owner may leave pings unanswered before it is replaced. It
@@ -87,6 +90,8 @@
 	Revision    int64
 	// IsReleased is set by an owner that has stopped and sends no more orders.
 	IsReleased bool
+	// EarlierOwnerMayAct is set if the owner before this one might still act when the key was written.
+	EarlierOwnerMayAct bool
 }
 
 // PingReply is an owner's reply to a ping.
@@ -277,6 +282,7 @@
 	poolCounts := v.poolCounts()
 	for _, pool := range pools {
 		reason, previousOwnerMayAct := v.replacementReason(pool, running, now)
+		previousOwnerMayAct = previousOwnerMayAct || v.earlierOwnerMayAct(pool, now)
 		if reason == "" {
 			delete(v.suspicions, pool)
 			continue
@@ -448,6 +454,11 @@
 	}
 }
 
+// earlierOwnerMayAct reports whether the owner before the previous one may still act.
+func (v *View) earlierOwnerMayAct(pool string, now bwclock.Time) bool {
+	return v.lastOwners[pool].EarlierOwnerMayAct && now.Sub(v.ownedSince[pool]) < LeaseTTL
+}
+
 // rank returns this node's position among the successors for a pool; 0 is the first.
 func (v *View) rank(pool string, poolCounts map[string]int) int {
 	current := v.owners[pool].Incarnation
