bwnode: a role does not start after it was replaced

The answer to a claim may take seconds. Other nodes ask the owner meanwhile, hear that it does not run the pool and replace it. When the answer came, the replaced node started the role under its old fence and could renew leases of executors that its successor had not reached, until another change of the nodes' keys.

Cause: startRole did not look at the key in its copy, and replaced roles are looked for at changes only.

Fix: a role is not started if the copy covers its claim and shows another key.

This change keeps it from starting at all.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -190,6 +190,13 @@
 	if n.isStopping {
 		return
 	}
+	if n.nodeKeys.Covers(fence) {
+		// Later changes of the key drop the role in nodesChanged.
+		if items, _ := n.nodeKeys.Items(); items[key].Revision != fence {
+			n.log.Warn("role not started; its key has changed during the claim", "owned", c.Pool, "fence", fence)
+			return
+		}
+	}
 	var r role
 	if c.Pool == hostsRole {
 		r = n.newCoordinator(key, fence)
