bwownership: an owner that does not list its pool may still act

Its successor claimed without the grace.

Fix: such a claim waits for the grace. A sound owner is not replaced for this reason; the wait concerns only the loaded jobs while an executor on the stored list does not answer.

Test changed: TestOwnerThatDoesNotRunThePoolIsReplaced demanded a claim without the grace, on evidence that does not prove that the owner has stopped. It now demands one with the grace, which is as strict.

--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -446,7 +446,7 @@
 	case now.Sub(repliedAt) >= silenceTimeout:
 		return "owner is silent", true
 	case h.repliedAt.Sub(activeAt) >= inactiveTimeout:
-		return "owner does not run the pool", false
+		return "owner does not run the pool", true
 	case h.repliedAt.Sub(storeReachableAt) >= storeLossTimeout:
 		return "owner has lost the store", true
 	default:
