bwlog: writes of at most 8 KB

In a take-over whole sequences were missing, "pool lost" among them.

Cause: queued lines are written together, up to 64 KB and more. Change: a batch ends before the line that would exceed 8 KB.

The new test fails before (a write of 65,643 bytes). Real pipes were not tried.

--- a/bwlog/log.go
+++ b/bwlog/log.go
@@ -18,8 +18,9 @@
 	// queueCapacity bounds the memory of the queue to about one megabyte.
 	queueCapacity = 4096
 	closeTimeout  = time.Second
-	// batchBytes is the approximate size of one write. A full queue takes a few writes.
-	batchBytes = 64 << 10
+	// batchBytes is the maximum size of one write, unless a line is longer. A reader that takes at most 8 KB of
+	// each write then gets all lines.
+	batchBytes = 8 << 10
 )
 
 // Writer is an io.Writer that queues lines for an underlying, possibly slow, writer.
@@ -67,9 +68,11 @@
 	reportedDrops := int64(0)
 	var batch []byte
 	for line := range w.queue {
-		batch = w.appendQueued(append(batch[:0], line...))
-		// A failure to write the log cannot be reported anywhere.
-		_, _ = w.out.Write(batch)
+		for line != nil {
+			batch, line = w.appendQueued(append(batch[:0], line...))
+			// A failure to write the log cannot be reported anywhere.
+			_, _ = w.out.Write(batch)
+		}
 		if d := w.dropped.Load(); d != reportedDrops && len(w.queue) < queueCapacity/2 {
 			_, _ = fmt.Fprintf(w.out, `{"@level":"warn","@message":"log lines dropped","dropped":%d}`+"\n", d)
 			reportedDrops = d
@@ -77,22 +80,24 @@
 	}
 }
 
-// appendQueued appends lines that are already queued to batch, up to about batchBytes. A busy
-// process queues many lines before this goroutine is scheduled again, and a write system call
-// for each would cost more than producing the line.
-func (w *Writer) appendQueued(batch []byte) []byte {
-	for len(batch) < batchBytes {
+// appendQueued appends lines that are already queued to batch, up to batchBytes, and returns the first line that
+// does not fit, or nil. A busy process queues many lines before this goroutine is scheduled again, and a write
+// system call for each would cost more than producing the line.
+func (w *Writer) appendQueued(batch []byte) (full, next []byte) {
+	for {
 		select {
 		case line, ok := <-w.queue:
 			if !ok {
-				return batch
+				return batch, nil
+			}
+			if len(batch)+len(line) > batchBytes {
+				return batch, line
 			}
 			batch = append(batch, line...)
 		default:
-			return batch
+			return batch, nil
 		}
 	}
-	return batch
 }
 
 // Close flushes the queue, waiting at most one second. Write must not be called afterwards.
--- a/bwlog/log_test.go
+++ b/bwlog/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -41,15 +42,17 @@
 	assert.Assert(t, bytes.Contains(buffer.buf.Bytes(), []byte("log lines dropped")))
 }
 
-// countingBuffer counts the writes that it receives.
+// countingBuffer counts the writes that it receives, and keeps the size of the largest.
 type countingBuffer struct {
 	blockingBuffer
-	writes int
+	writes  int
+	largest int
 }
 
 func (c *countingBuffer) Write(p []byte) (int, error) {
 	n, err := c.blockingBuffer.Write(p)
 	c.writes++
+	c.largest = max(c.largest, len(p))
 	return n, err
 }
 
@@ -71,3 +74,20 @@
 	assert.Equal(t, buffer.buf.String(), want.String())
 	assert.Assert(t, buffer.writes < 10, "%d writes", buffer.writes)
 }
+
+// Guards against writes of which a reader that takes 8 KB at a time loses the rest.
+func TestNoWriteExceedsEightKilobytes(t *testing.T) {
+	buffer := &countingBuffer{}
+	buffer.mu.Lock()
+	w := bwlog.NewWriter(buffer)
+	var want bytes.Buffer
+	for i := range 1000 {
+		line := fmt.Sprintf("%d %s\n", i, strings.Repeat("x", i%300))
+		want.WriteString(line)
+		fmt.Fprint(w, line)
+	}
+	buffer.mu.Unlock()
+	w.Close()
+	assert.Equal(t, buffer.buf.String(), want.String())
+	assert.Assert(t, buffer.largest > 7000 && buffer.largest <= 8192, "largest write has %d bytes", buffer.largest)
+}
