bwowner: an executor that a list drops is not admitted by an earlier one

A new owner waits for the executors on the stored list. An executor that was dropped from the list and came back before the write that drops it had an answer counted as being on the list that was stored before. It was given a task while the stored list lacked it; an owner that took the pool just then would not have waited for it.

Fix: an executor that a list drops is admitted again only once that list or a later one has been stored, and the list stored last has it.

--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -173,6 +173,7 @@
 		return
 	}
 	list := o.updateExecutorList(wanted, now)
+	version := o.listVersion
 	value, err := json.Marshal(list)
 	if err != nil {
 		o.log.Error("cannot encode executor list", "error", err.Error())
@@ -180,7 +181,7 @@
 	}
 	o.committer.Add(bwcommit.Write{Key: executorListKey(o.ownership.Pool), Value: value, Done: func(outcome bwcommit.WriteOutcome) {
 		if outcome == bwcommit.Stored {
-			o.admitExecutors(list)
+			o.admitExecutors(list, version)
 		}
 	}})
 }
@@ -202,8 +203,13 @@
 // updateExecutorList makes wanted the current executor list and returns its targets.
 // Executors that are no longer listed are given no more tasks.
 func (o *Owner) updateExecutorList(wanted map[string]bool, now bwclock.Time) []Target {
+	o.listVersion++
 	for id := range o.listedExecutors {
-		if e := o.scheduler.Executor(id); e != nil && !wanted[id] {
+		if wanted[id] {
+			continue
+		}
+		o.droppedIn[id] = o.listVersion
+		if e := o.scheduler.Executor(id); e != nil {
 			e.SetAdmitted(false)
 		}
 	}
@@ -217,14 +223,20 @@
 	return list
 }
 
-// admitExecutors records a list that has been stored, and allows tasks to be placed on its executors.
-func (o *Owner) admitExecutors(list []Target) {
+// admitExecutors records a list that has been stored, and allows tasks to be placed on its executors unless a
+// later list drops them.
+func (o *Owner) admitExecutors(list []Target, version int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.storedExecutors = make(map[string]bool, len(list))
 	for _, target := range list {
 		o.storedExecutors[target.ID] = true
 	}
+	for id, dropped := range o.droppedIn {
+		if dropped <= version {
+			delete(o.droppedIn, id)
+		}
+	}
 	o.admitConfirmed()
 	o.requestPass()
 }
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -193,13 +193,17 @@
 	// those on the list that was stored last.
 	listedExecutors map[string]bool
 	storedExecutors map[string]bool
-	listChangedAt   bwclock.Time
-	isReady         bool
-	isStopping      bool
-	flushedAt       bwclock.Time
-	housekeptAt     bwclock.Time
-	sweptAt         bwclock.Time
-	latePassAt      bwclock.Time
+	// listVersion counts the lists, and droppedIn holds the last one that dropped an executor while it may not
+	// be stored yet.
+	listVersion   int64
+	droppedIn     map[string]int64
+	listChangedAt bwclock.Time
+	isReady       bool
+	isStopping    bool
+	flushedAt     bwclock.Time
+	housekeptAt   bwclock.Time
+	sweptAt       bwclock.Time
+	latePassAt    bwclock.Time
 	// isUnconfirmed is set while the ownership is not confirmed and no orders are sent.
 	isUnconfirmed bool
 	// ownedAt is the latest time at which the owner's key is known to have been that of this owner. isReadingKey
@@ -233,6 +237,7 @@
 		placed:             make(map[string]bool),
 		yielded:            make(map[string]yieldedJob),
 		listedExecutors:    make(map[string]bool),
+		droppedIn:          make(map[string]int64),
 	}
 }
 
--- a/bwowner/owner_test.go
+++ b/bwowner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -84,7 +85,7 @@
 	return newOwnerOf(t, bwstandin.NewKV(1), x, executors)
 }
 
-func newOwnerOf(t *testing.T, kv *bwstandin.KV, x *scriptedExecutors, executors int) *bwowner.Owner {
+func newOwnerOf(t *testing.T, kv bwowner.Store, x *scriptedExecutors, executors int) *bwowner.Owner {
 	r := kv.Transact(t.Context(), bwkv.Transaction{Set: []bwkv.Write{{Key: ownerKey, Value: []byte("{}")}}})
 	assert.Equal(t, r.Outcome, bwkv.Committed)
 	always := func() bool { return true }
@@ -96,12 +97,7 @@
 	}, bwowner.Ownership{Pool: "pool", Key: ownerKey, Fence: r.Revision, PlacementPrefix: "nodes/placements/pool/"},
 		bwowner.Settings{LeaseLength: 3500 * time.Millisecond, EndedJobRetention: time.Minute})
 	o.SetQueues([]bwfleet.Queue{queue})
-	var list []bwexecutor.Registration
-	for i := range executors {
-		list = append(list, bwexecutor.Registration{ID: fmt.Sprintf("e%d", i), Incarnation: 1, Pool: "pool", Address: fmt.Sprintf("10.9.0.%d:80", i),
-			DataCentre: "a", Rack: "r", Capacity: bwjob.Resources{CPU: 4000, MemoryMB: 8000}})
-	}
-	o.SetExecutors(list)
+	o.SetExecutors(registrations(executors))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -115,6 +111,15 @@
 	return o
 }
 
+func registrations(executors int) []bwexecutor.Registration {
+	var list []bwexecutor.Registration
+	for i := range executors {
+		list = append(list, bwexecutor.Registration{ID: fmt.Sprintf("e%d", i), Incarnation: 1, Pool: "pool", Address: fmt.Sprintf("10.9.0.%d:80", i),
+			DataCentre: "a", Rack: "r", Capacity: bwjob.Resources{CPU: 4000, MemoryMB: 8000}})
+	}
+	return list
+}
+
 var queue = bwfleet.Queue{Name: "q", Pool: "pool", Host: "h", Prefix: "/q/", MaxAttempts: 3, Stretch: 2, ObjectiveOffset: time.Second}
 
 // Guards against an owner that starts a task elsewhere after an executor has refused its fencing token.
@@ -279,3 +284,60 @@
 		assert.Equal(t, len(x.started()), 1, "%v", x.started())
 	})
 }
+
+// listStore delays the answers to writes of the executor list while isSlow is set.
+type listStore struct {
+	*bwstandin.KV
+	isSlow atomic.Bool
+}
+
+const listKey = "executors/pool"
+
+func (s *listStore) Transact(ctx context.Context, t bwkv.Transaction) bwkv.Result {
+	r := s.KV.Transact(ctx, t)
+	for _, w := range t.Set {
+		if w.Key == listKey && s.isSlow.Load() {
+			time.Sleep(3 * time.Second)
+		}
+	}
+	return r
+}
+
+// Guards against a start on an executor that the stored list lacks, because a write that drops it has no answer yet.
+func TestExecutorIsOnTheStoredListBeforeItGetsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &listStore{KV: bwstandin.NewKV(1)}
+		var isAway atomic.Bool
+		x := &scriptedExecutors{}
+		x.onOrder = func(ctx context.Context, o bwschedule.Order) bwschedule.Result {
+			item, err := store.Get(ctx, listKey)
+			assert.Check(t, err == nil && strings.Contains(string(item.Value), o.Executor), "%s started on %s, list %s", o.Task, o.Executor, item.Value)
+			return bwschedule.Accepted
+		}
+		x.onRenewal = func(ctx context.Context, executor string, _ int) (bwowner.ExecutorReply, bool) {
+			if executor != "e0" || !isAway.Load() {
+				return bwowner.ExecutorReply{}, false
+			}
+			<-ctx.Done()
+			return bwowner.ExecutorReply{Result: bwschedule.Unanswered}, true
+		}
+		o := newOwnerOf(t, store, x, 1)
+		time.Sleep(3 * time.Second)
+		isAway.Store(true)
+		time.Sleep(2 * time.Second)
+		step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+		assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.OK)
+		assert.Equal(t, len(x.started()), 0)
+		store.isSlow.Store(true)
+		for isListed := true; isListed; time.Sleep(50 * time.Millisecond) {
+			item, err := store.Get(t.Context(), listKey)
+			assert.NilError(t, err)
+			isListed = strings.Contains(string(item.Value), "e0")
+		}
+		isAway.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		o.SetExecutors(registrations(2))
+		time.Sleep(15 * time.Second)
+		assert.Assert(t, len(x.started()) > 0)
+	})
+}
--- a/bwowner/ownership.go
+++ b/bwowner/ownership.go
@@ -32,7 +32,8 @@
 func (o *Owner) admitConfirmed() {
 	for _, id := range o.scheduler.ExecutorIDs() {
 		e := o.scheduler.Executor(id)
-		e.SetAdmitted(o.storedExecutors[id] && o.listedExecutors[id] && e.HasReported() && !o.ownedAt.Before(e.ReportedSince()))
+		isStored := o.storedExecutors[id] && o.listedExecutors[id] && o.droppedIn[id] == 0
+		e.SetAdmitted(isStored && e.HasReported() && !o.ownedAt.Before(e.ReportedSince()))
 	}
 }
 
