bwowner: a lease renewal counts from before the check of the ownership

The owner checked that it may still act and then read the clock for the end of the lease. A process that is paused between the two granted a lease from the end of the pause, when its successor may already have given the executor up.

Fix: the clock is read first. There is no test: the window is a few instructions wide, and a pause of the check under the owner's lock does not let simulated time pass. Found by reading.

--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -337,8 +337,10 @@
 	if !o.scheduler.NeedsReport(s.target.ID) {
 		renewal.MaxWait = maxReportWait
 	}
+	// The process may be paused after the check, so the lease counts from before it.
+	now := o.deps.Clock.Now()
 	if o.deps.IsOwnershipConfirmed() {
-		renewal.LeaseUntil, _ = e.ExtendLease(o.deps.Clock.Now(), o.settings.LeaseLength)
+		renewal.LeaseUntil, _ = e.ExtendLease(now, o.settings.LeaseLength)
 	}
 	return renewal
 }
