bwowner: a report that is read after its timeout counts as none

After a pause of the process, a report that had waited in the connection could be read before the timeout of its call took effect. It was recorded as news of that moment, so the executor could be given tasks at once, although it may have restarted since it wrote the report and forgotten the fencing token of a successor.

Fix: a report whose call has taken longer than its timeout, on the clock that runs on during pauses, counts as unanswered. Calls that end in time are not affected.

--- a/bwowner/owner_test.go
+++ b/bwowner/owner_test.go
@@ -341,3 +341,23 @@
 		assert.Assert(t, len(x.started()) > 0)
 	})
 }
+
+// Guards against a report that waited for a paused process and counts as news of the executor.
+func TestReportThatIsReadAfterItsTimeoutIsNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &scriptedExecutors{onOrder: func(context.Context, bwschedule.Order) bwschedule.Result { return bwschedule.Accepted }}
+		x.onRenewal = func(_ context.Context, _ string, call int) (bwowner.ExecutorReply, bool) {
+			if call < 3 {
+				return bwowner.ExecutorReply{}, false
+			}
+			time.Sleep(1700 * time.Millisecond)
+			return reportOf(), true
+		}
+		o := newOwner(t, x, 1)
+		time.Sleep(6 * time.Second)
+		step := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 30 * time.Second}
+		assert.Equal(t, o.Submit(t.Context(), &bwjob.Spec{ID: "job", Queue: "q", Steps: []bwjob.Step{step}}).Verdict, bwowner.OK)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(x.started()), 0)
+	})
+}
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -254,13 +254,18 @@
 	isUnreachable := false
 	for s.ctx.Err() == nil {
 		renewal := s.nextLeaseRenewal(isFirst)
-		ctx, cancel := context.WithTimeout(s.ctx, renewal.MaxWait+reportMargin)
+		timeout := renewal.MaxWait + reportMargin
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		sent := s.owner.deps.Clock.Now()
 		reply := s.owner.deps.Executors.RenewLease(ctx, s.target, renewal)
 		cancel()
 		if s.ctx.Err() != nil {
 			return
 		}
+		if reply.Result == bwschedule.Accepted && s.owner.deps.Clock.Now().Sub(sent) > timeout {
+			// The process was paused. The executor may have restarted since it wrote the report.
+			reply = ExecutorReply{Result: bwschedule.Unanswered, Reason: "reply was read after its timeout"}
+		}
 		ok := s.owner.handleRenewalReply(s.target, reply, sent)
 		if ok == isUnreachable {
 			isUnreachable = !ok
