bwowner: executors on pending lists are told by the number of the list

Three fields told which executors are on the stored list and on the pending ones. One does: the number of the first of the successive lists that name an executor, which must have been stored.

--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -164,7 +164,7 @@
 	wanted := o.executorsToList(now)
 	hasAdded, hasRemoved := false, false
 	for id := range wanted {
-		hasAdded = hasAdded || !o.listedExecutors[id]
+		hasAdded = hasAdded || o.listedExecutors[id] == 0
 	}
 	for id := range o.listedExecutors {
 		hasRemoved = hasRemoved || !wanted[id]
@@ -173,7 +173,7 @@
 		return
 	}
 	list := o.updateExecutorList(wanted, now)
-	version := o.listVersion
+	number := o.latestList
 	value, err := json.Marshal(list)
 	if err != nil {
 		o.log.Error("cannot encode executor list", "error", err.Error())
@@ -181,7 +181,7 @@
 	}
 	o.committer.Add(bwcommit.Write{Key: executorListKey(o.ownership.Pool), Value: value, Done: func(outcome bwcommit.WriteOutcome) {
 		if outcome == bwcommit.Stored {
-			o.admitExecutors(list, version)
+			o.admitExecutors(number)
 		}
 	}})
 }
@@ -203,17 +203,20 @@
 // updateExecutorList makes wanted the current executor list and returns its targets.
 // Executors that are no longer listed are given no more tasks.
 func (o *Owner) updateExecutorList(wanted map[string]bool, now bwclock.Time) []Target {
-	o.listVersion++
 	for id := range o.listedExecutors {
-		if wanted[id] {
-			continue
-		}
-		o.droppedIn[id] = o.listVersion
-		if e := o.scheduler.Executor(id); e != nil {
+		if e := o.scheduler.Executor(id); e != nil && !wanted[id] {
 			e.SetAdmitted(false)
 		}
 	}
-	o.listedExecutors, o.listChangedAt = wanted, now
+	o.latestList++
+	listed := make(map[string]int64, len(wanted))
+	for id := range wanted {
+		listed[id] = o.latestList
+		if since := o.listedExecutors[id]; since > 0 {
+			listed[id] = since
+		}
+	}
+	o.listedExecutors, o.listChangedAt = listed, now
 	var list []Target
 	for _, id := range o.scheduler.ExecutorIDs() {
 		if wanted[id] {
@@ -223,20 +226,12 @@
 	return list
 }
 
-// admitExecutors records a list that has been stored, and allows tasks to be placed on its executors unless a
-// later list drops them.
-func (o *Owner) admitExecutors(list []Target, version int64) {
+// admitExecutors records that the list with a number has been stored, and allows tasks to be placed on its
+// executors unless a later list drops them.
+func (o *Owner) admitExecutors(number int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.storedExecutors = make(map[string]bool, len(list))
-	for _, target := range list {
-		o.storedExecutors[target.ID] = true
-	}
-	for id, dropped := range o.droppedIn {
-		if dropped <= version {
-			delete(o.droppedIn, id)
-		}
-	}
+	o.storedList = number
 	o.admitConfirmed()
 	o.requestPass()
 }
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -189,21 +189,18 @@
 	routed  map[string]bool
 	placed  map[string]bool
 	yielded map[string]yieldedJob
-	// listedExecutors holds the executors on the stored list, or on the list being written, and storedExecutors
-	// those on the list that was stored last.
-	listedExecutors map[string]bool
-	storedExecutors map[string]bool
-	// listVersion counts the lists, and droppedIn holds the last one that dropped an executor while it may not
-	// be stored yet.
-	listVersion   int64
-	droppedIn     map[string]int64
-	listChangedAt bwclock.Time
-	isReady       bool
-	isStopping    bool
-	flushedAt     bwclock.Time
-	housekeptAt   bwclock.Time
-	sweptAt       bwclock.Time
-	latePassAt    bwclock.Time
+	// listedExecutors holds the executors on the latest list, which may not be stored yet, with the number of the
+	// first of the successive lists that name them. storedList is the number of the list that was stored last.
+	listedExecutors map[string]int64
+	latestList      int64
+	storedList      int64
+	listChangedAt   bwclock.Time
+	isReady         bool
+	isStopping      bool
+	flushedAt       bwclock.Time
+	housekeptAt     bwclock.Time
+	sweptAt         bwclock.Time
+	latePassAt      bwclock.Time
 	// isUnconfirmed is set while the ownership is not confirmed and no orders are sent.
 	isUnconfirmed bool
 	// ownedAt is the latest time at which the owner's key is known to have been that of this owner. isReadingKey
@@ -236,8 +233,7 @@
 		routed:             make(map[string]bool),
 		placed:             make(map[string]bool),
 		yielded:            make(map[string]yieldedJob),
-		listedExecutors:    make(map[string]bool),
-		droppedIn:          make(map[string]int64),
+		listedExecutors:    make(map[string]int64),
 	}
 }
 
--- a/bwowner/ownership.go
+++ b/bwowner/ownership.go
@@ -26,13 +26,15 @@
 	o.confirmIfNeeded(now)
 }
 
-// admitConfirmed allows tasks to be placed on the executors of the stored list whose current incarnation
-// reported before the pool was last known to be owned. An incarnation that a successor has called refuses the
-// fencing token of this owner; one that has started since then would not. The caller holds the lock.
+// admitConfirmed allows tasks to be placed on the executors that are on the stored list and on all later ones, if
+// their current incarnation reported before the pool was last known to be owned. An incarnation that a successor
+// has called refuses the fencing token of this owner; one that has started since then would not. The caller holds
+// the lock.
 func (o *Owner) admitConfirmed() {
 	for _, id := range o.scheduler.ExecutorIDs() {
 		e := o.scheduler.Executor(id)
-		isStored := o.storedExecutors[id] && o.listedExecutors[id] && o.droppedIn[id] == 0
+		since := o.listedExecutors[id]
+		isStored := since > 0 && since <= o.storedList
 		e.SetAdmitted(isStored && e.HasReported() && !o.ownedAt.Before(e.ReportedSince()))
 	}
 }
