bwowner: a replaced owner yields no job to another pool

A job could be accepted by two pools and run twice: its queue has moved, and the owner of the new pool asks that of the earlier one whether it knows the job. A replaced owner that does not know it yet answered that the job is absent, while its successor had accepted it.

Fix: after it has recorded that it leaves the job to the other pool, the owner reads its key, and answers only if the pool is still its own. Otherwise the submission is refused and comes back.

One read of the store for each submission of a moved queue.

--- a/bwowner/placements.go
+++ b/bwowner/placements.go
@@ -81,13 +81,31 @@
 	if reply.Verdict != Absent {
 		return reply
 	}
+	if !o.recordYield(id, pool) {
+		return Reply{Verdict: Refused, Reason: "job is being submitted", RetryAfter: ShortRetryDelay}
+	}
+	// A successor of which this owner does not know yet may have accepted the job.
+	ctx, cancel := context.WithTimeout(o.ctx, askTimeout)
+	defer cancel()
+	item, err := o.deps.Store.Get(ctx, o.ownership.Key)
+	switch {
+	case err != nil:
+		return Reply{Verdict: Refused, Reason: "owner's key cannot be read: " + err.Error(), RetryAfter: ShortRetryDelay}
+	case item.Revision != o.ownership.Fence:
+		return Reply{Verdict: Refused, Reason: "pool has another owner", RetryAfter: ShortRetryDelay}
+	}
+	return reply
+}
+
+// recordYield records that a job is left to another pool. It returns false if this owner has the job by now.
+func (o *Owner) recordYield(id, pool string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.pendingSubmissions[id] != nil || o.scheduler.Job(id) != nil {
-		return Reply{Verdict: Refused, Reason: "job is being submitted", RetryAfter: ShortRetryDelay}
+		return false
 	}
 	o.yielded[id] = yieldedJob{pool: pool, at: o.deps.Clock.Now()}
-	return reply
+	return true
 }
 
 // placementWrites returns the write of the placement of a job's queue, unless this owner has written
