bwschedule: the lease of a restarted executor may last longer than was meant

A task could run twice: a start is in flight while its executor restarts under its ID. It names the end of the lease on the clock of the earlier incarnation, which is a far time on the new one, so the executor grants the longest lease that it grants (hold_max_ms, 6 to 10 s). The owner counted with 3.5 s; when it then lost the executor, it released tasks that still ran.

Fix: after a restart with a start in flight, the lease does not count as ended before the longest lease has passed.

An executor that restarts with a start in flight and is lost for good soon after keeps its tasks up to 10.2 s instead of 3.8 s. Not covered: a lease renewal in flight across a restart.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -98,7 +98,9 @@
 	clockMillis int64
 	clockReadAt bwclock.Time
 	leaseEnd    int64
-	reportedAt  bwclock.Time
+	// leaseHeldUntil is the local time before which the lease does not count as expired.
+	leaseHeldUntil bwclock.Time
+	reportedAt     bwclock.Time
 	// reportedSince is the time of the first report of the current incarnation.
 	reportedSince   bwclock.Time
 	hasReported     bool
@@ -311,9 +313,12 @@
 // HasLeaseExpired reports whether the lease is certain to have expired. Then nothing runs on
 // the executor, and no earlier start order can take effect any more.
 func (e *Executor) HasLeaseExpired(now bwclock.Time) bool {
-	return e.hasClockPassed(e.leaseEnd, now)
+	return !now.Before(e.leaseHeldUntil) && e.hasClockPassed(e.leaseEnd, now)
 }
 
+// HoldLease keeps the lease from counting as expired before the given time.
+func (e *Executor) HoldLease(until bwclock.Time) { e.leaseHeldUntil = until }
+
 // LeaseLeft returns how much of the recorded lease is left according to the estimate of the executor's clock,
 // without the allowance for drift. It is negative after the end. It returns false as long as that clock is unknown.
 func (e *Executor) LeaseLeft(now bwclock.Time) (time.Duration, bool) {
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -122,6 +122,8 @@
 type Settings struct {
 	// LeaseLength is how long an executor keeps running its tasks without a lease renewal.
 	LeaseLength time.Duration
+	// MaxLeaseLength is the longest lease that an executor grants; 0 if it is not known.
+	MaxLeaseLength time.Duration
 	// MaxStopTime is the maximum time that an executor takes to stop a task.
 	MaxStopTime time.Duration
 	// EndedJobRetention is how long the state of an ended job remains available to callers.
@@ -216,15 +218,16 @@
 	log := deps.Log.With("pool", ownership.Pool, "fence", ownership.Fence)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
-		ctx:                ctx,
-		cancel:             cancel,
-		deps:               deps,
-		ownership:          ownership,
-		settings:           settings,
-		log:                log,
-		done:               make(chan struct{}),
-		passRequested:      make(chan bwclock.Time, 1),
-		scheduler:          bwschedule.New(log, bwschedule.WithCrossRackFactor(settings.CrossRackFactor), bwschedule.WithOnRelease(deps.Metrics.countRelease)),
+		ctx:           ctx,
+		cancel:        cancel,
+		deps:          deps,
+		ownership:     ownership,
+		settings:      settings,
+		log:           log,
+		done:          make(chan struct{}),
+		passRequested: make(chan bwclock.Time, 1),
+		scheduler: bwschedule.New(log, bwschedule.WithCrossRackFactor(settings.CrossRackFactor),
+			bwschedule.WithMaxLease(settings.MaxLeaseLength), bwschedule.WithOnRelease(deps.Metrics.countRelease)),
 		sessions:           make(map[string]*session),
 		registrations:      make(map[string]bwexecutor.Registration),
 		pendingSubmissions: make(map[string]*submission),
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -1,6 +1,8 @@
 package bwschedule
 
 import (
+	"time"
+
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwexecutor"
 	"basilwood.example/basilwood/bwjob"
@@ -10,6 +12,13 @@
 // sent is a time on the clock of the earlier incarnation.
 const expiredStart = 1
 
+const (
+	// defaultMaxLease is the longest lease that an executor grants, unless an option sets another.
+	defaultMaxLease = 10 * time.Second
+	// maxLeaseDriftPercent is how much slower an executor's clock may run.
+	maxLeaseDriftPercent = 2
+)
+
 // resetExecutor releases the tasks of an executor that has restarted, and records the crash. The runs in
 // inFlight keep their tasks, because their starts may still take effect.
 func (s *Scheduler) resetExecutor(e *bwexecutor.Executor, inFlight map[bwjob.TaskID]*bwexecutor.Run, now bwclock.Time) {
@@ -28,6 +37,10 @@
 	for _, run := range inFlight {
 		s.keepStart(e, run)
 	}
+	if len(inFlight) > 0 {
+		// The end of a lease that a start names is a time on the clock of the earlier incarnation.
+		e.HoldLease(now.Add(s.maxLease + s.maxLease*maxLeaseDriftPercent/100))
+	}
 	s.logLostTasks(e, lost, "executor has restarted", now)
 	if e.Registration().IsDraining {
 		// A draining executor ends by itself.
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -78,6 +78,8 @@
 	rackWaits map[string]map[StepID]bwclock.Time
 	// onRelease is called with the reason whenever a task is released without a reported end.
 	onRelease func(reason string)
+	// maxLease is the longest lease that an executor grants.
+	maxLease time.Duration
 }
 
 // Option configures a Scheduler.
@@ -99,6 +101,16 @@
 	return func(s *Scheduler) { s.onRelease = f }
 }
 
+// WithMaxLease sets the longest lease that an executor grants. The default is 10 s. Lengths that are not positive are
+// ignored.
+func WithMaxLease(d time.Duration) Option {
+	return func(s *Scheduler) {
+		if d > 0 {
+			s.maxLease = d
+		}
+	}
+}
+
 // New returns a Scheduler without jobs or executors.
 func New(log hclog.Logger, options ...Option) *Scheduler {
 	s := &Scheduler{
@@ -119,6 +131,7 @@
 		isCapacityKnown: true,
 		crossRackFactor: defaultCrossRackFactor,
 		onRelease:       func(string) {},
+		maxLease:        defaultMaxLease,
 	}
 	for _, option := range options {
 		option(s)
--- a/cmd/basilwood-node/run.go
+++ b/cmd/basilwood-node/run.go
@@ -97,6 +97,7 @@
 	node := bwnode.New(deps, bwnode.Identity{Name: s.Node, Address: s.NodeAddress, Cores: s.CPUCores, DataCentre: s.DataCentre}, bwnode.Settings{
 		Owner: bwowner.Settings{
 			LeaseLength:       min(executorLease, s.MaxLeaseLength),
+			MaxLeaseLength:    s.MaxLeaseLength,
 			MaxStopTime:       s.MaxTaskStopTime,
 			EndedJobRetention: s.EndedJobRetention,
 			CrossRackFactor:   s.CrossRackFactor,
