bwowner: a restart releases tasks only while the pool is known to be owned

A task could run again after its end was acknowledged: a replaced owner that does not know it yet sees that an executor has restarted, releases the task that ran there and starts it elsewhere. Its successor had seen the task end, and had taken note of that, before the restart made the executor forget both the end and the successor's fencing token.

Fix: a reply that shows a restart is handled only after the owner's key, read after the reply came, still shows this owner. Otherwise it counts as unanswered. It costs one read for each restart of an executor.

--- a/bwowner/owner_test.go
+++ b/bwowner/owner_test.go
@@ -65,6 +65,10 @@
 	return bwowner.ExecutorReply{Result: bwschedule.Accepted, Clock: time.Now().UnixMilli(), Report: bwexecutor.Report{Incarnation: 1, Running: running}}
 }
 
+func runStatusOf(o bwschedule.Order) bwexecutor.RunStatus {
+	return bwexecutor.RunStatus{Task: o.Task, Run: o.Run, Percent: 100}
+}
+
 func (x *scriptedExecutors) Order(ctx context.Context, _ bwowner.Target, o bwschedule.Order, _, _ int64) bwowner.ExecutorReply {
 	if o.Kind == bwschedule.Start {
 		x.mu.Lock()
--- a/bwowner/ownership.go
+++ b/bwowner/ownership.go
@@ -1,11 +1,13 @@
 package bwowner
 
 import (
+	"context"
 	"errors"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwkv"
+	"basilwood.example/basilwood/bwschedule"
 )
 
 const (
@@ -49,28 +51,68 @@
 	o.spawn("confirmation", o.confirmOwnership)
 }
 
-// confirmOwnership reads the owner's key until it knows whether the pool still belonged to this owner after
-// the call began.
+// isStillOwner reads the owner's key and reports whether the pool still belonged to this owner after the call
+// began. If it did not, the owner ends.
+func (o *Owner) isStillOwner(ctx context.Context) (bool, error) {
+	item, err := o.deps.Store.Get(ctx, o.ownership.Key)
+	if err != nil && !errors.Is(err, bwkv.ErrNotFound) {
+		return false, err
+	}
+	if err != nil || item.Revision != o.ownership.Fence {
+		o.loseOwnership("owner's key has changed")
+		return false, nil
+	}
+	return true, nil
+}
+
+// confirmOwnership reads the owner's key until it has an answer.
 func (o *Owner) confirmOwnership() {
 	for failures := 0; o.ctx.Err() == nil; failures++ {
 		sentAt := o.deps.Clock.Now()
-		item, err := o.deps.Store.Get(o.ctx, o.ownership.Key)
-		switch {
-		case err == nil && item.Revision == o.ownership.Fence:
-			o.recordOwned(sentAt)
-			bwclock.Sleep(o.ctx, keyReadInterval)
-			o.finishReadingKey()
+		isOwner, err := o.isStillOwner(o.ctx)
+		if err == nil {
+			if isOwner {
+				o.recordOwned(sentAt)
+				bwclock.Sleep(o.ctx, keyReadInterval)
+				o.finishReadingKey()
+			}
 			return
-		case err == nil || errors.Is(err, bwkv.ErrNotFound):
-			o.loseOwnership("owner's key has changed")
-			return
-		case failures == 0:
+		}
+		if failures == 0 {
 			o.log.Warn("cannot read the owner's key; expired leases are kept", "error", err.Error())
 		}
 		bwclock.Sleep(o.ctx, keyRetryDelay)
 	}
 }
 
+// showsRestart reports whether a reply shows that an executor has restarted.
+func (o *Owner) showsRestart(id string, reply ExecutorReply) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.scheduler.Executor(id)
+	if e == nil || !e.HasReported() {
+		return false
+	}
+	return reply.Result == bwschedule.OtherIncarnation ||
+		reply.Result == bwschedule.Accepted && reply.Report.Incarnation != e.Incarnation()
+}
+
+// confirmRestart returns a reply that shows a restart, or an unanswered one unless the pool still belonged to this
+// owner after the restart: a successor may have taken note of ends of the earlier incarnation, which are gone.
+func (o *Owner) confirmRestart(ctx context.Context, reply ExecutorReply) ExecutorReply {
+	ctx, cancel := context.WithTimeout(ctx, reportMargin)
+	defer cancel()
+	isOwner, err := o.isStillOwner(ctx)
+	switch {
+	case err != nil:
+		return ExecutorReply{Result: bwschedule.Unanswered, Reason: "executor has restarted and the owner's key cannot be read: " + err.Error()}
+	case !isOwner:
+		return ExecutorReply{Result: bwschedule.Unanswered, Reason: "executor has restarted and the pool has another owner"}
+	default:
+		return reply
+	}
+}
+
 // recordOwned records that this process owned the pool at a time, and requests a pass that expires leases.
 func (o *Owner) recordOwned(at bwclock.Time) {
 	o.mu.Lock()
--- a/bwowner/placements.go
+++ b/bwowner/placements.go
@@ -87,11 +87,11 @@
 	// A successor of which this owner does not know yet may have accepted the job.
 	ctx, cancel := context.WithTimeout(o.ctx, askTimeout)
 	defer cancel()
-	item, err := o.deps.Store.Get(ctx, o.ownership.Key)
+	isOwner, err := o.isStillOwner(ctx)
 	switch {
 	case err != nil:
 		return Reply{Verdict: Refused, Reason: "owner's key cannot be read: " + err.Error(), RetryAfter: ShortRetryDelay}
-	case item.Revision != o.ownership.Fence:
+	case !isOwner:
 		return Reply{Verdict: Refused, Reason: "pool has another owner", RetryAfter: ShortRetryDelay}
 	}
 	return reply
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -266,6 +266,9 @@
 			// The process was paused. The executor may have restarted since it wrote the report.
 			reply = ExecutorReply{Result: bwschedule.Unanswered, Reason: "reply was read after its timeout"}
 		}
+		if s.owner.showsRestart(s.target.ID, reply) {
+			reply = s.owner.confirmRestart(s.ctx, reply)
+		}
 		ok := s.owner.handleRenewalReply(s.target, reply, sent)
 		if ok == isUnreachable {
 			isUnreachable = !ok
