bwschedule: a report ends the wait for an executor once the ownership is known after it

A new owner starts no task of loaded jobs until each executor on the stored list has reported. A replaced owner that still waits hears from an executor that has restarted: its successor has called it, seen a task end and taken note of that; the restart makes it forget both. The wait ended with that report.

Fix: the wait ends with a report that came before the last read of the owner's key.

Evidence: by reading; TestAwaitedExecutorIsAwaitedUntilTheOwnershipIsKnownAfterItsReport fails without the change. Two tests end the wait with the call that now does it (Expire), after the same reports: the harness of a hand-over and TestEmptyExecutorIsKnownWhileOthersAreAwaited. What they check is unchanged. Tests of bwnode, bwschedule and bwowner pass.

--- a/bwschedule/evict_test.go
+++ b/bwschedule/evict_test.go
@@ -97,6 +97,7 @@
 	assert.Equal(t, h.s.Cordon("e0", h.now.Add(time.Minute)), true)
 	assert.Equal(t, h.s.Cordon("e1", h.now.Add(time.Minute)), false)
 	h.report("e1", bwexecutor.Report{Incarnation: 1})
+	h.s.Expire(h.now, h.now)
 	assert.Equal(t, h.s.Cordon("e1", h.now.Add(time.Minute)), true)
 }
 
--- a/bwschedule/expiry_test.go
+++ b/bwschedule/expiry_test.go
@@ -41,3 +41,19 @@
 	h.s.Expire(h.now, h.now)
 	assert.Equal(t, len(h.scheduleStarts()), 1)
 }
+
+// Guards against a wait that ends with a report which an executor has made after another owner took note of its ends.
+func TestAwaitedExecutorIsAwaitedUntilTheOwnershipIsKnownAfterItsReport(t *testing.T) {
+	h := newHarness(t, 1)
+	h.s.LoadJob(bwjob.New(&bwjob.Spec{ID: "old", Queue: "q", Steps: []bwjob.Step{newStep(1000, 1)}}, h.now))
+	h.s.Register(bwexecutor.Registration{ID: "e1", Incarnation: 1, Pool: "p"})
+	h.s.AwaitExecutor("e1", h.now.Add(5*time.Second))
+	ownedAt := h.now
+	h.advance(100 * time.Millisecond)
+	h.report("e0", bwexecutor.Report{Incarnation: 1})
+	h.s.HandleReport("e1", bwexecutor.Report{Incarnation: 1}, h.now, h.now)
+	h.s.Expire(ownedAt, h.now)
+	assert.Equal(t, len(h.scheduleStarts()), 0)
+	h.s.Expire(h.now, h.now)
+	assert.Equal(t, len(h.scheduleStarts()), 1)
+}
--- a/bwschedule/handover_test.go
+++ b/bwschedule/handover_test.go
@@ -32,6 +32,7 @@
 		n.lastEnd[id] = h.lastEnd[id]
 		n.report(id, bwexecutor.Report{Incarnation: e.Incarnation(), Running: h.statuses(id, bwjob.TaskID{})})
 	}
+	n.s.Expire(n.now, n.now)
 	return n
 }
 
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -38,7 +38,6 @@
 	if len(r.Ended) < maxReportedEnds {
 		s.reconcileUnlisted(e, listed, sentAt, now)
 	}
-	delete(s.awaited, id)
 }
 
 // hasWorked reports whether a long-running task was available during the run. The reported share of
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -160,7 +160,7 @@
 }
 
 // AwaitExecutor keeps the tasks of loaded jobs from being placed until the executor has
-// reported or the given time has passed.
+// reported or the given time has passed, and the pool is known to have been owned after that.
 func (s *Scheduler) AwaitExecutor(id string, until bwclock.Time) {
 	s.awaited[id] = until
 }
@@ -331,18 +331,26 @@
 	return false
 }
 
-// Expire releases the tasks of executors whose leases had expired at ownedAt and stops awaiting
-// executors whose leases had expired then. ownedAt is the latest time at which this process is known to have
-// owned the pool; afterwards another owner may have extended the leases. Expire removes executors that are
-// unregistered and run nothing, and returns their IDs.
+// hasReportedBy reports whether the current incarnation of an executor had reported by the given time.
+func (s *Scheduler) hasReportedBy(id string, at bwclock.Time) bool {
+	e := s.executors[id]
+	return e != nil && e.HasReported() && !at.Before(e.ReportedSince())
+}
+
+// Expire releases the tasks of executors whose leases had expired at ownedAt and stops awaiting executors that had
+// reported, or whose leases had expired, at ownedAt. That is the latest time at which this process is known to have
+// owned the pool: afterwards another owner may have extended leases or taken note of ends. Expire removes executors
+// that are unregistered and run nothing, and returns their IDs.
 func (s *Scheduler) Expire(ownedAt, now bwclock.Time) []string {
 	for id, until := range s.awaited {
-		if ownedAt.Before(until) {
-			continue
+		switch {
+		case s.hasReportedBy(id, ownedAt):
+			delete(s.awaited, id)
+		case !ownedAt.Before(until):
+			delete(s.awaited, id)
+			s.log.Warn("executor of the previous owner did not report until its lease ended", "executor", id,
+				"ownedAge", age(ownedAt, now))
 		}
-		delete(s.awaited, id)
-		s.log.Warn("executor of the previous owner did not report until its lease ended", "executor", id,
-			"ownedAge", age(ownedAt, now))
 	}
 	var removed []string
 	for _, id := range s.ExecutorIDs() {
