--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -175,8 +175,8 @@
 // IsCordoned reports whether a cordon blocks new tasks.
 func (e *Executor) IsCordoned(now bwclock.Time) bool { return now.Before(e.cordonedUntil) }
 
-// SetAdmitted sets whether the executor is on the stored list of the pool's executors. Only
-// executors on the list get tasks.
+// SetAdmitted sets whether the executor is on the stored list of the pool's executors and its incarnation is known
+// to have reported before a successor could. Only admitted executors get tasks.
 func (e *Executor) SetAdmitted(isAdmitted bool) { e.isAdmitted = isAdmitted }
 
 // Free returns the capacity that no run uses or may use.
--- a/bwowner/ownership.go
+++ b/bwowner/ownership.go
@@ -44,7 +44,7 @@
 // confirmIfNeeded reads the owner's key if the end of a lease or a new incarnation of an executor needs that. The
 // caller holds the lock.
 func (o *Owner) confirmIfNeeded(now bwclock.Time) {
-	if o.isReadingKey || !o.hasNewIncarnation && !o.scheduler.HasExpired(now) {
+	if o.isReadingKey || (!o.hasNewIncarnation && !o.scheduler.HasExpired(now)) {
 		return
 	}
 	o.isReadingKey, o.hasNewIncarnation = true, false
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -8,9 +8,9 @@
 	"basilwood.example/basilwood/bwjob"
 )
 
-// expiredStart is the end of a start's lease that the clock of every incarnation has passed. The end that was
-// sent is a time on the clock of the earlier incarnation.
-const expiredStart = 1
+// earliestStartExpiry is an end of a start's lease that the clock of every incarnation has passed. The end that
+// was sent is a time on the clock of the earlier incarnation.
+const earliestStartExpiry = 1
 
 const (
 	// defaultMaxLease is the longest lease that an executor grants, unless an option sets another.
@@ -72,7 +72,7 @@
 // any start without an answer.
 func (s *Scheduler) keepStart(e *bwexecutor.Executor, r *bwexecutor.Run) {
 	e.Add(&bwexecutor.Run{Task: r.Task, Number: r.Number, Reserved: r.Reserved, Phase: bwexecutor.Indeterminate, OrderedAt: r.OrderedAt,
-		IsOrphaned: r.IsOrphaned, HasUnknownSize: r.HasUnknownSize, Pace: r.Pace, StartExpiresAt: expiredStart})
+		IsOrphaned: r.IsOrphaned, HasUnknownSize: r.HasUnknownSize, Pace: r.Pace, StartExpiresAt: earliestStartExpiry})
 	s.log.Info("start may reach the restarted executor; the task waits", "job", r.Task.Job, "task", r.Task, "run", r.Number, "executor", e.ID())
 }
 
