--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -424,7 +424,7 @@
 		return "owner has released the pool", false
 	}
 	if !isOwned {
-		// Whoever held the key may not know yet that it has gone away.
+		// The previous owner may not have noticed the loss of its key.
 		return "no owner", true
 	}
 	if owner.Incarnation == v.self.Incarnation {
