--- a/bwowner/metrics.go
+++ b/bwowner/metrics.go
@@ -31,7 +31,7 @@
 			Name: "basilwood_pass_delay_seconds", Help: "Time from an event to the scheduling pass that handles it.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
 		releases: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "basilwood_releases_total", Help: "Runs taken for over without a reported end, by reason."}, []string{"reason"}),
+			Name: "basilwood_releases_total", Help: "Runs presumed ended without a reported end, by reason."}, []string{"reason"}),
 	}
 	r.MustRegister(m.orders, m.orderSeconds, m.reportSeconds, m.passDelay, m.releases)
 	return m
--- a/bwowner/ownership.go
+++ b/bwowner/ownership.go
@@ -78,7 +78,7 @@
 			}
 			return
 		}
-		if failures == 0 {
+		if failures == 0 && o.ctx.Err() == nil {
 			o.log.Warn("cannot read the owner's key; expired leases are kept", "error", err.Error())
 		}
 		bwclock.Sleep(o.ctx, keyRetryDelay)
--- a/bwschedule/late_restart_test.go
+++ b/bwschedule/late_restart_test.go
@@ -9,8 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a task that runs twice because its start, whose lease ends late on the clock of a restarted executor, is
-// taken for over with the lease that was meant.
+// Guards against a start whose lease ends late on the clock of a restarted executor and is presumed ended too soon.
 func TestStartInFlightAcrossRestartOutlivesTheLeaseThatWasMeant(t *testing.T) {
 	h := newHarness(t, 2)
 	h.submit("j", newStep(1000, 1))
--- a/bwschedule/release.go
+++ b/bwschedule/release.go
@@ -29,8 +29,8 @@
 		"reason", string(reason)}, evidence(e, r, now)...)...)
 }
 
-// evidence returns log fields that tell what this owner knew of an executor and of a run when it took the run
-// for over, and how old that knowledge was.
+// evidence returns log fields that tell what this owner knew of an executor and of a run when it presumed the run
+// ended, and how old that knowledge was.
 func evidence(e *bwexecutor.Executor, r *bwexecutor.Run, now bwclock.Time) []any {
 	leaseLeft := "unknown"
 	if left, ok := e.LeaseLeft(now); ok {
