bwownership: a ping from before a claim proves no restart of the owner

Fix: the ping must have been sent after the key was seen. Pings of known owners follow each other every 0.3 s, so a restart is noticed as soon as before.

Evidence: found by reading. TestPingFromBeforeTheClaimIsNoProofOfRestart fails without the change. The other tests of the package pass their replies the time of sending, which is that of the reply or, in one case, 50 ms before.

--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -335,6 +335,7 @@
 }
 
 func (n *Node) pingOwner(address string) {
+	sentAt := n.deps.Clock.Now()
 	reply, err := n.deps.Mesh.Ping(n.ctx, address)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -351,5 +352,5 @@
 		Incarnation:    reply.GetIncarnation(),
 		ActivePools:    active,
 		StoreReachable: reply.GetStoreReachable(),
-	}, n.deps.Clock.Now())
+	}, sentAt, n.deps.Clock.Now())
 }
--- a/bwownership/grace_test.go
+++ b/bwownership/grace_test.go
@@ -33,7 +33,7 @@
 // Guards against a ping reply from before the claim that counts as proof that the owner has stopped.
 func TestReplyBeforeOwnershipIsNoProofOfStop(t *testing.T) {
 	v := newView("self", "other")
-	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other", StoreReachable: true}, start)
+	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other", StoreReachable: true}, start, start)
 	now := pass(v, start, 100*time.Millisecond)
 	v.SetOwners(map[string]bwownership.Owner{"a": ownedBy("other", 5)}, now)
 	now = pass(v, now, 10*time.Second)
@@ -44,7 +44,7 @@
 // Guards against a reply of an earlier process at the address that counts as proof that the owner has restarted.
 func TestReplyOfEarlierProcessIsNoProofOfRestart(t *testing.T) {
 	v := newView("self", "other")
-	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other before", StoreReachable: true}, start)
+	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other before", StoreReachable: true}, start, start)
 	now := pass(v, start, 100*time.Millisecond)
 	v.SetOwners(map[string]bwownership.Owner{"a": ownedBy("other", 5)}, now)
 	now = pass(v, now, 10*time.Second)
@@ -58,3 +58,19 @@
 	v.SetOwners(map[string]bwownership.Owner{}, start)
 	assert.Equal(t, mayActAtClaimOf(t, v, "a", start), true)
 }
+
+// Guards against a reply to a ping from before the owner's claim, which an earlier process at its address has answered.
+func TestPingFromBeforeTheClaimIsNoProofOfRestart(t *testing.T) {
+	v := newView("self", "other")
+	v.SetOwners(map[string]bwownership.Owner{"a": ownedBy("other before", 4)}, start)
+	now := pass(v, start, 100*time.Millisecond)
+	v.AddressesToPing([]string{"a"}, now)
+	sentAt := now
+	now = pass(v, now, 300*time.Millisecond)
+	v.SetOwners(map[string]bwownership.Owner{"a": {Incarnation: "other", Address: "other before:70", Revision: 5}}, now)
+	now = pass(v, now, 100*time.Millisecond)
+	v.RecordReply("other before:70", bwownership.PingReply{Incarnation: "other before", StoreReachable: true}, sentAt, now)
+	v.AddressesToPing([]string{"a"}, now)
+	now = pass(v, now, 100*time.Millisecond)
+	assert.Equal(t, len(v.Decide([]string{"a"}, nil, now)), 0)
+}
--- a/bwownership/view.go
+++ b/bwownership/view.go
@@ -116,6 +116,7 @@
 // pingHistory records the ping replies of one incarnation at an address.
 type pingHistory struct {
 	reply     PingReply
+	sentAt    bwclock.Time
 	repliedAt bwclock.Time
 	// storeReachableAt is when a reply last reported the store reachable, and activeAt when
 	// one last listed each pool as active.
@@ -212,15 +213,15 @@
 // MemberCount returns the number of running nodes.
 func (v *View) MemberCount() int { return len(v.members) }
 
-// RecordReply records the ping reply of the process at an address.
-func (v *View) RecordReply(address string, reply PingReply, now bwclock.Time) {
+// RecordReply records the reply of the process at an address to a ping that was sent at sentAt.
+func (v *View) RecordReply(address string, reply PingReply, sentAt, now bwclock.Time) {
 	h := v.pings[address]
 	if h == nil || h.reply.Incarnation != reply.Incarnation {
 		h = &pingHistory{storeReachableAt: now, activeAt: make(map[string]bwclock.Time)}
 		v.pings[address] = h
 	}
 	h.reply = reply
-	h.repliedAt = now
+	h.sentAt, h.repliedAt = sentAt, now
 	if reply.StoreReachable {
 		h.storeReachableAt = now
 	}
@@ -441,7 +442,7 @@
 	}
 	repliedAt, activeAt, storeReachableAt := max(h.repliedAt, since), max(h.activeAt[pool], since), max(h.storeReachableAt, since)
 	switch {
-	case h.reply.Incarnation != owner.Incarnation && since.Before(h.repliedAt):
+	case h.reply.Incarnation != owner.Incarnation && !h.sentAt.Before(since):
 		return "owner has restarted", false
 	case now.Sub(repliedAt) >= silenceTimeout:
 		return "owner is silent", true
--- a/bwownership/view_test.go
+++ b/bwownership/view_test.go
@@ -49,7 +49,7 @@
 }
 
 func replyWith(v *bwownership.View, reply bwownership.PingReply) func(bwclock.Time) {
-	return func(now bwclock.Time) { v.RecordReply("other:70", reply, now) }
+	return func(now bwclock.Time) { v.RecordReply("other:70", reply, now, now) }
 }
 
 func allActive() map[string]bool { return map[string]bool{"a": true, "b": true, "c": true} }
@@ -121,7 +121,7 @@
 // it owned the pool must not count against it.
 func TestNewOwnerGetsTimeToAnswer(t *testing.T) {
 	v := newView("self", "other")
-	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other", StoreReachable: true}, start)
+	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other", StoreReachable: true}, start, start)
 	now := start
 	for range 30 {
 		now = now.Add(100 * time.Millisecond)
@@ -137,7 +137,7 @@
 func TestPauseOfThisProcessIsNoEvidenceAgainstOwners(t *testing.T) {
 	v := newView("self", "other")
 	ownAll(v, "other")
-	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other", ActivePools: allActive(), StoreReachable: true}, start.Add(500*time.Millisecond))
+	v.RecordReply("other:70", bwownership.PingReply{Incarnation: "other", ActivePools: allActive(), StoreReachable: true}, start.Add(500*time.Millisecond), start.Add(500*time.Millisecond))
 	v.Decide(pools, nil, start.Add(500*time.Millisecond))
 	assert.Equal(t, len(v.Decide(pools, nil, start.Add(5*time.Second))), 0)
 }
@@ -167,7 +167,7 @@
 		for now := start; now.Before(start.Add(500 * time.Millisecond)); now = now.Add(100 * time.Millisecond) {
 			v.AddressesToPing(pools, now)
 			for i, address := range addresses {
-				v.RecordReply(address, bwownership.PingReply{Incarnation: members[i].Incarnation, StoreReachable: true}, now.Add(50*time.Millisecond))
+				v.RecordReply(address, bwownership.PingReply{Incarnation: members[i].Incarnation, StoreReachable: true}, now, now.Add(50*time.Millisecond))
 			}
 			if claims := v.Decide(pools, nil, now.Add(100*time.Millisecond)); len(claims) > 0 {
 				assert.Equal(t, len(claims), 1, "%s claims %v", self.Incarnation, claims)
@@ -183,7 +183,7 @@
 		now := start.Add(t)
 		for _, address := range v.AddressesToPing(pools, now) {
 			if reply != nil {
-				v.RecordReply(address, *reply, now)
+				v.RecordReply(address, *reply, now, now)
 			}
 		}
 		if v.NeedsHandover(now) {
