bwowner: a confirmation does the housekeeping only where something has ended

Each read of the owner's key did the periodic work of the pool at once, up to 50 times a second instead of 20 while executors join, as in a wave of 539 hosts. Only an awaited executor or an ended lease needs that; admitting a new executor does not.

Tests of bwowner pass five times; time of a hand-over as before.

--- a/bwowner/ownership.go
+++ b/bwowner/ownership.go
@@ -116,13 +116,16 @@
 	}
 }
 
-// recordOwned records that this process owned the pool at a time, and requests a pass that expires leases.
+// recordOwned records that this process owned the pool at a time, and requests a pass, which expires leases if any
+// have ended.
 func (o *Owner) recordOwned(at bwclock.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ownedAt = at
 	o.admitConfirmed()
-	o.housekeptAt = bwclock.Never
+	if o.scheduler.CountAwaitedExecutors() > 0 || o.scheduler.HasExpired(at) {
+		o.housekeptAt = bwclock.Never
+	}
 	o.requestPass()
 }
 
