--- a/review/rig-2/executor.go
+++ b/review/rig-2/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"net"
 	"net/http"
 	"sync"
@@ -43,7 +44,8 @@
 }
 
 // executor is a stand-in of an executor that doesn't guard its capacity. How long a task works stands in the spec
-// of its job as "ms=N", or "ms=N checkpoint=BYTES" for one that saves checkpoints; a task without it lasts.
+// of its job as "ms=N", or "ms=N spread=M checkpoint=BYTES" for one that works up to M longer and saves checkpoints; a
+// task without it lasts.
 type executor struct {
 	id, pool, rack, address string
 	store                   *store
@@ -223,10 +225,13 @@
 	r := &run{task: o.Task, number: o.Run, cancel: cancel}
 	e.runs[o.Task] = r
 	e.record.started(o.Task, o.Run, e.id)
-	var millis, size, worked int
-	if _, err := fmt.Sscanf(o.Spec, "ms=%d checkpoint=%d", &millis, &size); err != nil && millis == 0 {
+	var millis, spread, size, worked int
+	if _, err := fmt.Sscanf(o.Spec, "ms=%d spread=%d checkpoint=%d", &millis, &spread, &size); err != nil && millis == 0 {
 		return http.StatusOK, ""
 	}
+	if spread > 0 {
+		millis += int(crc32.ChecksumIEEE([]byte(o.Task))) % spread
+	}
 	if _, err := fmt.Sscanf(o.Checkpoint, "%d.", &worked); err == nil {
 		r.saved = o.Checkpoint
 	}
--- a/review/rig-2/widejob.go
+++ b/review/rig-2/widejob.go
@@ -9,10 +9,13 @@
 const (
 	// wideTasks tasks with checkpoints of wideCheckpoint bytes fit into the executors at once.
 	wideTasks      = 4500
-	wideCheckpoint = 250
+	wideCheckpoint = 400
 	wideExecutors  = 12
-	wideWork       = 16 * time.Second
-	workBefore     = 5 * time.Second
+	wideWork       = 8 * time.Second
+	wideSpread     = 8 * time.Second
+	// startWait is the time in which all tasks have to start, and workBefore that until each has a checkpoint.
+	startWait  = 20 * time.Second
+	workBefore = 3 * time.Second
 	// powerOffTime is how long all nodes are without power.
 	powerOffTime = 5 * time.Second
 	// recoveryTime is recovery_s of the settings.
@@ -33,12 +36,17 @@
 		return err
 	}
 	before := f.submitSmallJobs(0xa000)
-	spec := fmt.Sprintf("ms=%d checkpoint=%d", wideWork.Milliseconds(), wideCheckpoint)
+	spec := fmt.Sprintf("ms=%d spread=%d checkpoint=%d", wideWork.Milliseconds(), wideSpread.Milliseconds(), wideCheckpoint)
 	wide := jobBody(spec, map[string]any{"count": wideTasks, "cpu": 40, "mem_mb": 10, "est_ms": wideWork.Milliseconds(), "checkpointing": true})
 	const path = "/po/00000000000000e1"
 	if status, _ := f.call(f.nodes[0], http.MethodPost, path, wide); status != http.StatusOK {
 		return fmt.Errorf("the wide job got status %d", status)
 	}
+	for deadline := time.Now().Add(startWait); f.record.countAll() < wideTasks; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("only %d tasks have started", f.record.countAll())
+		}
+	}
 	time.Sleep(workBefore)
 	if isTroubled {
 		f.record.write("disruption: all nodes lose power for %s", powerOffTime)
