review: case 8, an accepted job is lost at a planned stop of a node

Cause: max_per_server is stored as 32 bits, and a record whose number has become negative is left out when the next owner loads the jobs. Change: a script that stops and starts one node after the job was accepted.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Stops a node as planned, with a job whose limit for each executor is a large number. About 35 seconds.
+# It writes record.txt, and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# TROUBLE=0 does the same without the disruption.
+set -euo pipefail
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.."
+if [ ! -x target/basilwood-node ] || [ ! -x target/rig-2 ]; then
+  echo "cannot run: the build of the deploy file and review/build-2.sh come first"
+  exit 2
+fi
+export TROUBLE="${TROUBLE:-1}"
+exec target/rig-2 large-limit "$folder"
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -13,9 +13,8 @@
 	"moved-queue": playMovedQueue,
 	"crashes":     playCrashes,
 	"advice":      playAdvice,
-	"same-id":     playSameID,
-	"cancel":      playCancel,
 	"wide-job":    playWideJob,
+	"large-limit": playLargeLimit,
 }
 
 func main() {
