review: stand-ins without the crashes, and addresses of their own for each run

Change: what only that case used is removed, each run has its own loopback addresses, and a signal ends all processes that were started.

--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -27,12 +27,11 @@
 
 // fleet is a small deployment.
 type fleet struct {
-	dir       string
-	record    *record
-	store     *store
-	nodes     []*node
-	executors []*executor
-	version   int
+	dir     string
+	record  *record
+	store   *store
+	nodes   []*node
+	version int
 	// advice holds the times of the policy service, in milliseconds.
 	advice map[string]int64
 }
@@ -118,11 +117,9 @@
 // addExecutors starts executors of a pool that has some already.
 func (f *fleet) addExecutors(pool string, existing, n int) error {
 	for i := existing; i < existing+n; i++ {
-		e, err := newExecutor(executorID(pool, i+1), pool, fmt.Sprintf("r%d", i/4+1), f.store, f.record)
-		if err != nil {
+		if _, err := newExecutor(executorID(pool, i+1), pool, fmt.Sprintf("r%d", i/4+1), f.store, f.record); err != nil {
 			return err
 		}
-		f.executors = append(f.executors, e)
 	}
 	return nil
 }
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -5,16 +5,18 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases holds the cases by name. Each returns an error if it could not run.
 var cases = map[string]func(f *fleet, isTroubled bool) error{
 	"moved-queue": playMovedQueue,
-	"crashes":     playCrashes,
 	"advice":      playAdvice,
 	"wide-job":    playWideJob,
 	"large-limit": playLargeLimit,
+	"cancel":      playCancel,
 }
 
 func main() {
@@ -25,6 +27,15 @@
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
 }
 
+// stopOnSignal ends all processes that were started, and this one, when it is told to end early.
+func (f *fleet) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	f.stop()
+	os.Exit(2)
+}
+
 func play(run func(f *fleet, isTroubled bool) error, folder string) int {
 	rec, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
@@ -37,6 +48,7 @@
 		return 2
 	}
 	defer f.stop()
+	go f.stopOnSignal()
 	isTroubled := os.Getenv("TROUBLE") != "0"
 	rec.write("disruption: %t", isTroubled)
 	if err := run(f, isTroubled); err != nil {
--- a/review/rig-2/node.go
+++ b/review/rig-2/node.go
@@ -102,7 +102,7 @@
 
 // startNode starts a node whose calls to the store go through a link of its own.
 func (f *fleet) startNode(number int, hosts string) (*node, error) {
-	ip := fmt.Sprintf("127.0.0.%d", 10+number)
+	ip := nodeIP(number)
 	ports, err := freePorts(ip, 2)
 	if err != nil {
 		return nil, err
@@ -146,6 +146,14 @@
 	return n.process.Start()
 }
 
+// nodeIP returns the loopback address of a node. It differs between cases that run side by side, so that none takes a
+// port that another one has found to be free.
+func nodeIP(number int) string {
+	const subnets = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/subnets%subnets, 1+pid%subnets, 10+number)
+}
+
 // freePair returns the first of two successive free ports.
 func freePair(ip string) (int, error) {
 	for range 50 {
--- a/review/rig-2/record.go
+++ b/review/rig-2/record.go
@@ -52,6 +52,13 @@
 	r.running[task]--
 }
 
+// count returns how many runs of a task there are now.
+func (r *record) count(task string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[task]
+}
+
 // countAll returns how many runs of all tasks there are now.
 func (r *record) countAll() int {
 	r.mu.Lock()
