--- a/review/rig-2/widejob.go
+++ b/review/rig-2/widejob.go
@@ -8,8 +8,8 @@
 
 const (
 	// wideTasks tasks with checkpoints of wideCheckpoint bytes fit into the executors at once.
-	wideTasks      = 4500
-	wideCheckpoint = 400
+	wideTasks      = 1500
+	wideCheckpoint = 1000
 	wideExecutors  = 12
 	wideWork       = 8 * time.Second
 	wideSpread     = 8 * time.Second
@@ -37,7 +37,7 @@
 	}
 	before := f.submitSmallJobs(0xa000)
 	spec := fmt.Sprintf("ms=%d spread=%d checkpoint=%d", wideWork.Milliseconds(), wideSpread.Milliseconds(), wideCheckpoint)
-	wide := jobBody(spec, map[string]any{"count": wideTasks, "cpu": 40, "mem_mb": 10, "est_ms": wideWork.Milliseconds(), "checkpointing": true})
+	wide := jobBody(spec, map[string]any{"count": wideTasks, "cpu": 120, "mem_mb": 40, "est_ms": wideWork.Milliseconds(), "checkpointing": true})
 	const path = "/po/00000000000000e1"
 	if status, _ := f.call(f.nodes[0], http.MethodPost, path, wide); status != http.StatusOK {
 		return fmt.Errorf("the wide job got status %d", status)
