--- /dev/null
+++ b/review/rig-3/main.go
@@ -0,0 +1,66 @@
+// Command rig-3 plays one case of the third review with real nodes and small stand-ins of the platform.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+)
+
+// The exit codes of a case.
+const (
+	exitHeld    = 0
+	exitBroken  = 1
+	exitCannot  = 2
+	usageLength = 5
+)
+
+// playLimit ends a case that hangs.
+const playLimit = 110 * time.Second
+
+// caseFunc plays a case, with or without its disruption, and returns what was broken, or "".
+type caseFunc func(f *fleet, hasTrouble bool) (string, error)
+
+var cases = map[string]caseFunc{
+	"hidden-ends": playHiddenEnds,
+}
+
+func main() {
+	if len(os.Args) != usageLength || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig-3 CASE ROOT TEMPORARY-FOLDER RECORD")
+		os.Exit(exitCannot)
+	}
+	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Args[3], os.Args[4]))
+}
+
+func play(c caseFunc, root, folder, record string) int {
+	f, err := newFleet(root, folder, record)
+	if err != nil {
+		fmt.Println("could not run:", err)
+		return exitCannot
+	}
+	defer f.close()
+	time.AfterFunc(playLimit, func() {
+		fmt.Println("could not run: the case takes too long")
+		f.close()
+		os.Exit(exitCannot)
+	})
+	broken, err := c(f, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		f.record("verdict", "", "could not run: "+err.Error())
+		fmt.Println("could not run:", err)
+		return exitCannot
+	case broken != "":
+		f.record("verdict", "", "broken: "+broken)
+		fmt.Println("broken:", broken)
+		return exitBroken
+	default:
+		f.record("verdict", "", "held")
+		fmt.Println("held")
+		return exitHeld
+	}
+}
+
+var errNoOwner = errors.New("no node owns the pool")
