--- a/review/rig-3/executor.go
+++ b/review/rig-3/executor.go
@@ -140,16 +140,16 @@
 }
 
 type executorCall struct {
-	Task     string `json:"task"`
-	Run      int    `json:"run"`
-	Spec     string `json:"spec"`
-	UntilMs  int64  `json:"until_ms"`
-	Fence    int64  `json:"fence"`
-	AckedUp  int64  `json:"acked_upto"`
-	WaitMs   int64  `json:"wait_ms"`
-	Ticket   string `json:"ticket"`
-	Saved    string `json:"checkpoint"`
-	Percent  int    `json:"percent"`
+	Task    string `json:"task"`
+	Run     int    `json:"run"`
+	Spec    string `json:"spec"`
+	UntilMs int64  `json:"until_ms"`
+	Fence   int64  `json:"fence"`
+	AckedUp int64  `json:"acked_upto"`
+	WaitMs  int64  `json:"wait_ms"`
+	Ticket  string `json:"ticket"`
+	Saved   string `json:"checkpoint"`
+	Percent int    `json:"percent"`
 }
 
 // ServeHTTP implements http.Handler.
--- a/review/rig-3/hiddenends.go
+++ b/review/rig-3/hiddenends.go
@@ -16,25 +16,6 @@
 	restartDelay = 500 * time.Millisecond
 )
 
-type stepBody struct {
-	Count       int   `json:"count"`
-	CPU         int   `json:"cpu"`
-	MemMB       int   `json:"mem_mb"`
-	EstMs       int   `json:"est_ms"`
-	LongRunning bool  `json:"long_running,omitempty"`
-	MayMiss     int   `json:"may_miss,omitempty"`
-	After       []int `json:"after,omitempty"`
-}
-
-type jobBody struct {
-	Spec  string     `json:"spec"`
-	Steps []stepBody `json:"steps"`
-}
-
-func newJob(work time.Duration, steps ...stepBody) jobBody {
-	return jobBody{Spec: fmt.Sprintf("work %d", work.Milliseconds()), Steps: steps}
-}
-
 // playHiddenEnds hands in one wide job of small work units, and kills the owner of its pool once all have
 // started, shortly before they end. More ends than fit in one answer wait at an executor for the next owner.
 func playHiddenEnds(f *fleet, hasTrouble bool) (string, error) {
