review: case 13, a machine of a wave that is kept empty without an end

Cause: a wave cordons a machine whose lasting work unit has room nowhere else, and neither the cordon nor the work unit gives way.

--- a/review/rig-3/executor.go
+++ b/review/rig-3/executor.go
@@ -52,6 +52,7 @@
 	// address is where it listens.
 	address string
 	born    time.Time
+	server  *http.Server
 
 	mu         sync.Mutex
 	fence      int64
@@ -64,6 +65,7 @@
 	acked   int64
 	changed chan struct{}
 	seq     int
+	hasLeft bool
 }
 
 func (e *executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1000 }
@@ -76,7 +78,8 @@
 	}
 	e.born = time.Now()
 	e.runs, e.highest, e.changed = make(map[string]*run), make(map[string]int), make(chan struct{})
-	go func() { _ = http.Serve(l, e) }()
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(l) }()
 	go e.beat()
 	go e.work()
 	return nil
@@ -85,6 +88,10 @@
 func (e *executor) beat() {
 	for {
 		e.mu.Lock()
+		if e.hasLeft {
+			e.mu.Unlock()
+			return
+		}
 		e.seq++
 		entry := map[string]any{
 			"service": e.pool, "addr": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
@@ -103,6 +110,10 @@
 		time.Sleep(tick)
 		now := time.Now()
 		e.mu.Lock()
+		if e.hasLeft {
+			e.mu.Unlock()
+			return
+		}
 		if e.leaseUntil > 0 && e.clock() > e.leaseUntil {
 			e.leaseUntil = 0
 			e.lapses = append(e.lapses, now)
@@ -280,3 +291,16 @@
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"clock_ms": e.clock(), "born": e.born.UnixMilli(), "running": running, "ended": ended})
 }
+
+// leave ends the executor and everything that runs on it.
+func (e *executor) leave() {
+	e.mu.Lock()
+	e.hasLeft = true
+	for _, r := range e.runs {
+		e.fleet.record("end", e.id, fmt.Sprintf("%s run %d ended with its executor", r.task, r.number))
+	}
+	e.runs = make(map[string]*run)
+	e.mu.Unlock()
+	_ = e.server.Close()
+	e.fleet.store.kv.Delete("servers/" + e.id)
+}
--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -63,7 +63,9 @@
 	port   int
 	store  *store
 	// adviceAt is the address of the advice in the settings of nodes that are written from now on.
-	adviceAt  string
+	adviceAt string
+	// cloudAt is the address of the host service, or "" without one.
+	cloudAt   string
 	nodes     []*node
 	executors []*executor
 	begun     time.Time
@@ -246,6 +248,9 @@
 bounds.lease_ms=3000
 orders=rpc
 advice=%s
+cloud.addr=%s
+cloud.rate_per_s=64.0
+cloud.duty_per_s=64.0
 platform.addr=%s
 platform.form=kv
 platform.writes_per_s=400
@@ -253,7 +258,7 @@
 platform.retention_s=20
 platform.value_bytes=1048576
 platform.ttl_min_ms=1000
-`, n.name, n.ip, n.zone, n.ip, f.port, n.ip, f.port+1, f.port+2, f.port+8, holdMax.Milliseconds(), f.adviceAt, f.address(1))
+`, n.name, n.ip, n.zone, n.ip, f.port, n.ip, f.port+1, f.port+2, f.port+8, holdMax.Milliseconds(), f.adviceAt, f.cloudAt, f.address(1))
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
--- a/review/rig-3/job.go
+++ b/review/rig-3/job.go
@@ -77,20 +77,26 @@
 	if waitFor(finishWait+idleLimit, func() bool { return f.hasStarted(id) }) {
 		return ""
 	}
-	return fmt.Sprintf("LOST: %.0f s after it was accepted the job %s is %q, none of its work units has ever started, and its executor has %s",
+	return fmt.Sprintf("LOST: %.0f s after the traffic the job %s is %q, none of its work units has ever started, and its executor has %s",
 		(finishWait + idleLimit).Seconds(), id, f.state(path), f.describeRoom())
 }
 
 // describeRoom tells how much of the executor that the job needs, and of all, is in use.
 func (f *fleet) describeRoom() string {
-	last := f.executors[len(f.executors)-1]
+	f.mu.Lock()
+	list := f.executors
+	f.mu.Unlock()
+	var last *executor
 	runs := 0
-	for _, e := range f.executors {
+	for _, e := range list {
+		if e.rack == loneRack {
+			last = e
+		}
 		e.mu.Lock()
 		runs += len(e.runs)
 		e.mu.Unlock()
 	}
 	last.mu.Lock()
 	defer last.mu.Unlock()
-	return fmt.Sprintf("%d work units running, all %d executors %d", len(last.runs), len(f.executors), runs)
+	return fmt.Sprintf("%d work units running, all executors together %d", len(last.runs), runs)
 }
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]caseFunc{
 	"hidden-ends": playHiddenEnds,
 	"set-aside":   playSetAside,
+	"wave":        playWave,
 }
 
 func main() {
