--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -26,6 +26,7 @@
 	"hidden-ends": playHiddenEnds,
 	"set-aside":   playSetAside,
 	"wave":        playWave,
+	"settings":    playSettings,
 }
 
 func main() {
