--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -27,6 +27,7 @@
 	"set-aside":   playSetAside,
 	"wave":        playWave,
 	"settings":    playSettings,
+	"route":       playRoute,
 }
 
 func main() {
