--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -26,8 +26,8 @@
 	"hidden-ends": playHiddenEnds,
 	"set-aside":   playSetAside,
 	"wave":        playWave,
-	"settings":    playSettings,
 	"route":       playRoute,
+	"retention":   playRetention,
 }
 
 func main() {
--- a/review/rig-3/route.go
+++ b/review/rig-3/route.go
@@ -7,6 +7,7 @@
 )
 
 const (
+	secondJob = "9999cccc0000dddd"
 	// visibleTime is the users' visible_ms, from which every node knows an accepted job, and applyTime their apply_ms.
 	visibleTime = 3 * time.Second
 	applyTime   = 2 * time.Second
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"basilwood.example/basilwood/bwkv"
@@ -25,6 +27,11 @@
 // store serves bwstandin.KV over the platform's HTTP interface.
 type store struct {
 	kv *bwstandin.KV
+
+	mu sync.Mutex
+	// left holds items that were written before the case, sorted by key, and removed those of them that are gone.
+	left    []bwkv.Item
+	removed map[string]bool
 }
 
 func newStore() *store { return &store{kv: bwstandin.NewKV(storeSeed)} }
@@ -117,12 +124,13 @@
 		writeJSON(w, http.StatusServiceUnavailable, struct{}{})
 		return
 	}
-	page := items[:0]
+	page := s.leftAfter(prefix, after)
 	for _, i := range items {
 		if i.Key > after {
 			page = append(page, i)
 		}
 	}
+	sort.Slice(page, func(a, b int) bool { return page[a].Key < page[b].Key })
 	isTruncated := len(page) > maxPageItems
 	if isTruncated {
 		page = page[:maxPageItems]
@@ -142,6 +150,9 @@
 		return
 	}
 	result := s.kv.Transact(ctx, t)
+	if result.Outcome == bwkv.Committed {
+		s.forget(t.Remove)
+	}
 	switch result.Outcome {
 	case bwkv.Committed:
 		writeJSON(w, http.StatusOK, map[string]any{"rev": result.Revision})
@@ -185,3 +196,38 @@
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": ttl.Milliseconds()})
 }
+
+// leave puts items into the store that were written before the case, in the order of their keys.
+func (s *store) leave(count int, item func(i int) (string, []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed = make(map[string]bool)
+	for i := range count {
+		key, value := item(i)
+		s.left = append(s.left, bwkv.Item{Key: key, Value: value, Revision: 1})
+	}
+}
+
+// leftAfter returns the items from before the case that follow a key, one more than a page at most.
+func (s *store) leftAfter(prefix, after string) []bwkv.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []bwkv.Item
+	from := max(prefix, after)
+	for n := sort.Search(len(s.left), func(n int) bool { return s.left[n].Key > from }); n < len(s.left) && len(list) <= maxPageItems; n++ {
+		if strings.HasPrefix(s.left[n].Key, prefix) && !s.removed[s.left[n].Key] {
+			list = append(list, s.left[n])
+		}
+	}
+	return list
+}
+
+func (s *store) forget(keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range keys {
+		if s.removed != nil {
+			s.removed[key] = true
+		}
+	}
+}
