review: case 15, a late start reaches the next life of an executor

Cause: an acknowledged stop is taken as proof that a run can't start any more, but the executor forgets it when it restarts under its ID.

--- a/review/rig-3/executor.go
+++ b/review/rig-3/executor.go
@@ -38,6 +38,7 @@
 	task    string
 	run     int
 	how     string
+	startAt time.Time
 	at      time.Time
 	ackedAt time.Time
 }
@@ -66,6 +67,16 @@
 	changed chan struct{}
 	seq     int
 	hasLeft bool
+	// isDown is set while the executor has crashed and isn't back yet.
+	isDown bool
+	// lost holds the runs that ended with a crash.
+	lost []lostRun
+}
+
+// lostRun is a run that ended with the life of its executor.
+type lostRun struct {
+	run
+	at time.Time
 }
 
 func (e *executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1000 }
@@ -92,6 +103,11 @@
 			e.mu.Unlock()
 			return
 		}
+		if e.isDown {
+			e.mu.Unlock()
+			time.Sleep(tick)
+			continue
+		}
 		e.seq++
 		entry := map[string]any{
 			"service": e.pool, "addr": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
@@ -143,7 +159,7 @@
 func (e *executor) endRun(r *run, how string, now time.Time) {
 	delete(e.runs, r.task)
 	e.highest[r.task] = max(e.highest[r.task], r.number)
-	x := &end{number: int64(len(e.ends) + 1), task: r.task, run: r.number, how: how, at: now}
+	x := &end{number: int64(len(e.ends) + 1), task: r.task, run: r.number, how: how, startAt: r.startAt, at: now}
 	e.ends = append(e.ends, x)
 	e.fleet.record("end", e.id, fmt.Sprintf("%s run %d %s (%d)", r.task, r.number, how, x.number))
 	close(e.changed)
@@ -174,14 +190,15 @@
 		e.answer(w, http.StatusMisdirectedRequest, "")
 		return
 	}
-	e.mu.Lock()
-	if call.Fence < e.fence {
-		e.mu.Unlock()
+	e.abortIfDown()
+	if r.URL.Path == "/basilwood/run-start" && e.fleet.holdsBack(e, call) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if !e.raiseFence(call.Fence) {
 		e.answer(w, http.StatusConflict, "fence")
 		return
 	}
-	e.fence = call.Fence
-	e.mu.Unlock()
 	switch r.URL.Path {
 	case "/basilwood/hold":
 		e.hold(w, r, call)
@@ -200,6 +217,49 @@
 	}
 }
 
+// abortIfDown ends a call without an answer while the executor has crashed.
+func (e *executor) abortIfDown() {
+	e.mu.Lock()
+	isDown := e.isDown
+	e.mu.Unlock()
+	if isDown {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// raiseFence reports whether a call with a fence may be carried out.
+func (e *executor) raiseFence(fence int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence < e.fence {
+		return false
+	}
+	e.fence = fence
+	return true
+}
+
+// crash ends the executor's life. It is back after a while under the same ID, and knows nothing of before.
+func (e *executor) crash(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.fleet.record("crash", e.id, fmt.Sprintf("%d work units running, back after %s", len(e.runs), d))
+	for _, r := range e.runs {
+		e.lost = append(e.lost, lostRun{*r, now})
+	}
+	e.isDown = true
+	e.runs, e.highest = make(map[string]*run), make(map[string]int)
+	e.ends, e.acked, e.fence, e.leaseUntil = nil, 0, 0, 0
+	close(e.changed)
+	e.changed = make(chan struct{})
+	time.AfterFunc(d, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.isDown, e.born = false, time.Now()
+		e.fleet.record("back", e.id, "")
+	})
+}
+
 func (e *executor) answer(w http.ResponseWriter, status int, reason string) {
 	body := map[string]any{"clock_ms": e.clock(), "born": e.born.UnixMilli()}
 	if reason != "" {
@@ -216,30 +276,32 @@
 }
 
 func (e *executor) startRun(w http.ResponseWriter, call executorCall) {
+	if reason := e.carryOut(call); reason != "" {
+		e.answer(w, http.StatusConflict, reason)
+		return
+	}
+	e.answer(w, http.StatusOK, "")
+}
+
+// carryOut starts a run and returns the reason for which it is rejected, or "".
+func (e *executor) carryOut(call executorCall) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if x := e.runs[call.Task]; x != nil && x.number == call.Run {
 		e.extend(call.UntilMs)
-		e.answer(w, http.StatusOK, "")
-		return
+		return ""
 	}
 	if call.UntilMs <= e.clock() {
-		e.answer(w, http.StatusConflict, "late")
-		return
+		return "late"
 	}
 	e.extend(call.UntilMs)
 	if call.Run <= e.highest[call.Task] {
-		e.answer(w, http.StatusConflict, "old")
-		return
-	}
-	if reason := e.fleet.checkTicket(e, call); reason != "" {
-		e.answer(w, http.StatusConflict, reason)
-		return
+		return "old"
 	}
 	now := time.Now()
 	e.runs[call.Task] = &run{task: call.Task, number: call.Run, startAt: now, endsAt: now.Add(workTime(call.Spec))}
 	e.fleet.noteStart(start{task: call.Task, run: call.Run, executor: e.id, at: now})
-	e.answer(w, http.StatusOK, "")
+	return ""
 }
 
 // workTime returns how long a work unit works: the milliseconds that its spec names.
@@ -274,6 +336,10 @@
 			return
 		}
 		e.mu.Lock()
+		if e.isDown {
+			e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if isOver {
 			break
 		}
--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -69,8 +69,8 @@
 	nodes     []*node
 	executors []*executor
 	begun     time.Time
-	// checkTicket returns the reason for which a start is rejected, or "".
-	checkTicket func(e *executor, call executorCall) string
+	// holdsBack reports whether an order to start gets no answer and is carried out later.
+	holdsBack func(e *executor, call executorCall) bool
 
 	mu     sync.Mutex
 	file   *os.File
@@ -84,9 +84,9 @@
 	}
 	f := &fleet{
 		root: root, folder: folder, file: file, store: newStore(), begun: time.Now(),
-		prefix:      fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
-		port:        20000 + 10*rand.IntN(900),
-		checkTicket: func(*executor, executorCall) string { return "" },
+		prefix:    fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
+		port:      20000 + 10*rand.IntN(900),
+		holdsBack: func(*executor, executorCall) bool { return false },
 	}
 	l, err := net.Listen("tcp", f.address(1))
 	if err != nil {
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -26,7 +26,7 @@
 	"hidden-ends": playHiddenEnds,
 	"set-aside":   playSetAside,
 	"wave":        playWave,
-	"route":       playRoute,
+	"late-start":  playLateStart,
 	"retention":   playRetention,
 }
 
