review: case 12 within the site's share of poison

Cause: one job of three was more than the share of 0.062 that the site file has. Change: 20 usual jobs are handed in before, here and in case 15, so it is one of 23; the rig ends its processes when it is told to stop.

--- a/review/rig-3/job.go
+++ b/review/rig-3/job.go
@@ -12,6 +12,9 @@
 	// nothing running then although there is room (the users' finish_s and 3 s).
 	finishWait = 14 * time.Second
 	idleLimit  = 3 * time.Second
+	// usualJobs is the number of usual jobs beside a disruption that concerns one job or one order, so that its share is
+	// below that of the site file.
+	usualJobs = 20
 	// lastingWork is longer than any case.
 	lastingWork = time.Hour
 )
@@ -47,6 +50,21 @@
 	return nil
 }
 
+// submitUsual hands in usual jobs of one work unit each, under a prefix, and waits until all have started.
+func (f *fleet) submitUsual(prefix string, count int) error {
+	before := f.countStarts()
+	for i := range count {
+		job := newJob(time.Second, stepBody{Count: 1, CPU: 1000, MemMB: 1000, EstMs: 1000})
+		if err := f.submit(fmt.Sprintf("%s%016x", prefix, 0x00d0000000000000+i), job); err != nil {
+			return err
+		}
+	}
+	if !waitFor(finishWait, func() bool { return f.countStarts() >= before+count }) {
+		return fmt.Errorf("%d of %d usual jobs have started", f.countStarts()-before, count)
+	}
+	return nil
+}
+
 // state returns the state of a job, or "" without an answer that tells it.
 func (f *fleet) state(path string) string {
 	var body struct {
--- a/review/rig-3/late.go
+++ b/review/rig-3/late.go
@@ -32,6 +32,10 @@
 		return "", errNoOwner
 	}
 	time.Sleep(settleTime)
+	if err := f.submitUsual("/lots/", usualJobs); err != nil {
+		return "", err
+	}
+	time.Sleep(settleTime)
 	if hasTrouble {
 		f.holdsBack = holdFirst(f)
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -45,6 +47,13 @@
 		return exitCannot
 	}
 	defer f.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
+	go func() {
+		<-signals
+		f.close()
+		os.Exit(exitCannot)
+	}()
 	time.AfterFunc(playLimit, func() {
 		fmt.Println("could not run: the case takes too long")
 		f.close()
--- a/review/rig-3/setaside.go
+++ b/review/rig-3/setaside.go
@@ -26,6 +26,9 @@
 		return "", errNoOwner
 	}
 	time.Sleep(settleTime)
+	if err := f.submitUsual("/scan/", usualJobs); err != nil {
+		return "", err
+	}
 	pinned := stepBody{Count: 1, CPU: 8000, MemMB: 1000, EstMs: 1000, RequiredLabel: loneRack, LongRunning: true, MayMiss: 1}
 	if err := f.submit("/watch/"+pinnedJob, newJob(lastingWork, pinned)); err != nil {
 		return "", err
