bwowner: a job is stored only while the placements that allowed it are current

The service of a queue was corrected soon after its first job, the same submission came again, and the task ran in both services at once.

Cause: an acceptance rests on the owner's copy of the placements, and on replies of the owners of other pools.

Change: a new placement also changes the version keys of its queue, for its name and for its host and prefix. The transaction that stores a job expects these keys and those of the owners that were asked. An outdated write is dropped alone; the owner reads the placements and decides again. A transaction no longer sets and removes one key.

Why it works: whichever of two pools stores second finds that a key it expects has changed, whatever the age of its copy.

--- a/bwcommit/committer.go
+++ b/bwcommit/committer.go
@@ -53,6 +53,8 @@
 	Stored
 	// NotStored means that the write is certain never to be stored.
 	NotStored
+	// Outdated means the same, because an expectation of the write does not hold any more.
+	Outdated
 )
 
 // Write sets or removes one key.
@@ -63,6 +65,10 @@
 	IsRemoval bool
 	// CanReject allows the write to be rejected with NotStored while the store is failing.
 	CanReject bool
+	// Expected lists keys that must still have the given revisions when the write is stored. Writes of this
+	// Committer that expected the same revision of such a key do not count as changes of it. A write with more
+	// expectations than a transaction may have is rejected.
+	Expected []bwkv.Expectation
 	// Done is called once with the outcome of the write, unless it is nil.
 	Done func(WriteOutcome)
 }
@@ -99,29 +105,42 @@
 	isCommitting bool
 	// commitTime is the moving average of the duration of a transaction, retries included.
 	commitTime time.Duration
+
+	// advances holds the keys that writes have changed and expected. Only the goroutine of Run uses it.
+	advances map[string]advance
+}
+
+// advance is a series of changes of a key by one Committer, between which nobody else has changed the key.
+type advance struct {
+	// from is the revision before the first change, and to the one after the last.
+	from, to int64
 }
 
+// includes reports whether a revision of the key is one of the series.
+func (a advance) includes(revision int64) bool { return a.from <= revision && revision <= a.to }
+
 // New returns a Committer whose transactions are guarded by the keys in guard. If another
 // owner has replaced this one, onLost is called once and no more writes are sent.
 func New(store Store, guard Guard, clock bwclock.Clock, log hclog.Logger, onLost func(reason string)) *Committer {
-	return &Committer{store: store, guard: guard, clock: clock, log: log, onLost: onLost, wake: make(chan struct{}, 1)}
+	return &Committer{store: store, guard: guard, clock: clock, log: log, onLost: onLost, wake: make(chan struct{}, 1), advances: make(map[string]advance)}
 }
 
 // Add queues writes for the next transaction, in order.
 func (c *Committer) Add(writes ...Write) {
 	now := c.clock.Now()
+	var rejected []Write
 	c.mu.Lock()
-	isClosed := c.isClosed
-	if !isClosed {
-		for _, w := range writes {
+	for _, w := range writes {
+		if c.isClosed || len(w.Expected) >= maxBatchEntries {
+			rejected = append(rejected, w)
+		} else {
 			c.queue = append(c.queue, queuedWrite{Write: w, queuedAt: now})
 		}
 	}
 	c.mu.Unlock()
-	if isClosed {
+	if len(rejected) > 0 {
 		// Done runs in another goroutine because the caller may hold a lock that it needs.
-		go complete(writes, NotStored)
-		return
+		go complete(rejected, NotStored)
 	}
 	select {
 	case c.wake <- struct{}{}:
@@ -181,7 +200,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, size := 0, 0
-	for n < len(c.queue) && n < maxBatchEntries && (n == 0 || size < maxBatchBytes) {
+	entries := newEntries()
+	for n < len(c.queue) && (n == 0 || size < maxBatchBytes) {
+		if w := c.withCurrentRevisions(c.queue[n].Write); !entries.add(w) && n > 0 {
+			break
+		}
 		size += len(c.queue[n].Value)
 		n++
 	}
@@ -238,8 +261,17 @@
 				c.finishCommit(batch, s.Revision, startedAt)
 				return true
 			}
-			c.handleConflict(r, batch, mayBeStored)
-			return false
+			if !c.isGuardKept(r) {
+				c.handleConflict(r, batch, mayBeStored)
+				return false
+			}
+			// An earlier attempt that the service applies late has the same expectations.
+			mayBeStored = false
+			if batch = c.completeOutdated(r, batch); len(batch) == 0 {
+				c.finishBatch()
+				return true
+			}
+			continue
 		case bwkv.Unanswered:
 			mayBeStored = true
 		}
@@ -265,14 +297,69 @@
 		},
 		Set: []bwkv.Write{{Key: c.guard.SequenceKey, Value: []byte(token)}},
 	}
+	entries := newEntries()
+	for _, w := range batch {
+		entries.add(c.withCurrentRevisions(w))
+	}
+	return entries.appendTo(t)
+}
+
+// withCurrentRevisions returns a write whose expectations take earlier writes of this Committer into account.
+func (c *Committer) withCurrentRevisions(w Write) Write {
+	expected := make([]bwkv.Expectation, 0, len(w.Expected))
+	for _, e := range w.Expected {
+		if a, ok := c.advances[e.Key]; ok && a.includes(e.Revision) {
+			e.Revision = a.to
+		}
+		expected = append(expected, e)
+	}
+	w.Expected = expected
+	return w
+}
+
+// isGuardKept reports whether a conflict is not one of the keys that guard all writes.
+func (c *Committer) isGuardKept(r bwkv.Result) bool {
+	return r.ItemOf(c.guard.OwnerKey).Revision == c.guard.OwnerRevision && r.ItemOf(c.guard.SequenceKey).Revision == c.guard.SequenceRevision
+}
+
+// completeOutdated completes the writes whose expectations did not hold in a conflict, and returns the others.
+func (c *Committer) completeOutdated(r bwkv.Result, batch []Write) []Write {
+	var outdated, remaining []Write
 	for _, w := range batch {
-		if w.IsRemoval {
-			t.Remove = append(t.Remove, w.Key)
+		holds := true
+		for _, e := range c.withCurrentRevisions(w).Expected {
+			holds = holds && r.ItemOf(e.Key).Revision == e.Revision
+		}
+		if holds {
+			remaining = append(remaining, w)
 		} else {
-			t.Set = append(t.Set, bwkv.Write{Key: w.Key, Value: w.Value})
+			outdated = append(outdated, w)
+		}
+	}
+	c.log.Info("writes are outdated", "owner", c.guard.OwnerKey, "outdated", len(outdated), "remaining", len(remaining))
+	complete(outdated, Outdated)
+	return remaining
+}
+
+// recordAdvances records the keys that a stored batch has changed and expected.
+func (c *Committer) recordAdvances(batch []Write, revision int64) {
+	for _, w := range batch {
+		previous, isKnown := c.advances[w.Key]
+		if isKnown && previous.to == revision {
+			continue
+		}
+		delete(c.advances, w.Key)
+		for _, e := range w.Expected {
+			if e.Key != w.Key {
+				continue
+			}
+			from := e.Revision
+			if isKnown && previous.includes(from) {
+				from = previous.from
+			}
+			c.advances[w.Key] = advance{from: from, to: revision}
 		}
 	}
-	return t
 }
 
 // rejectWrites rejects the writes that allow it and returns the others.
@@ -296,12 +383,21 @@
 	c.failingSince = bwclock.Never
 	c.isCommitting = false
 	c.mu.Unlock()
+	c.recordAdvances(batch, revision)
 	if failingSince != bwclock.Never {
 		c.log.Info("store takes writes again", "owner", c.guard.OwnerKey, "after", c.clock.Now().Sub(failingSince).String())
 	}
 	complete(batch, Stored)
 }
 
+// finishBatch ends a batch of which no write is left.
+func (c *Committer) finishBatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failingSince = bwclock.Never
+	c.isCommitting = false
+}
+
 func (c *Committer) markFailing(sent bwclock.Time, outcome bwkv.Outcome) {
 	c.mu.Lock()
 	isFirst := c.failingSince == bwclock.Never
--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -195,7 +195,7 @@
 // a refusal of the last attempt does not rule out that the earlier one took effect, so the
 // verdict is Unknown.
 func decodeReply(r *JobReply, mayHaveBeenDelivered bool) bwowner.Reply {
-	reply := bwowner.Reply{Reason: r.GetReason(), RetryAfter: time.Duration(r.GetRetryAfterMillis()) * time.Millisecond}
+	reply := bwowner.Reply{Reason: r.GetReason(), RetryAfter: time.Duration(r.GetRetryAfterMillis()) * time.Millisecond, Fence: r.GetFence()}
 	switch r.GetVerdict() {
 	case Verdict_ok:
 		reply.Verdict = bwowner.OK
@@ -217,7 +217,7 @@
 
 // EncodeReply encodes an owner's reply for another node.
 func EncodeReply(r bwowner.Reply) *JobReply {
-	reply := &JobReply{Phase: r.State.String(), Reason: r.Reason, RetryAfterMillis: r.RetryAfter.Milliseconds()}
+	reply := &JobReply{Phase: r.State.String(), Reason: r.Reason, RetryAfterMillis: r.RetryAfter.Milliseconds(), Fence: r.Fence}
 	switch r.Verdict {
 	case bwowner.OK:
 		reply.Verdict = Verdict_ok
--- a/bwmirror/mirror.go
+++ b/bwmirror/mirror.go
@@ -106,6 +106,13 @@
 	return m.isLoaded && m.revision >= revision
 }
 
+// Revision returns the revision up to which the mirror includes all changes; 0 if it is not loaded.
+func (m *Mirror) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // FreshAt returns the latest time at which the mirror was known to be up to date.
 func (m *Mirror) FreshAt() bwclock.Time {
 	m.mu.Lock()
--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
-	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwownership"
@@ -36,7 +36,7 @@
 	dataCentres := make(map[string]string)
 	owners := make(map[string]bwownership.Owner)
 	for key, item := range items {
-		if strings.HasPrefix(key, prefixPlacements) {
+		if strings.HasPrefix(key, prefixPlacementKeys) {
 			continue
 		}
 		var v keyValue
@@ -52,7 +52,7 @@
 			dataCentres[v.Incarnation] = v.DataCentre
 		}
 	}
-	n.placements.set(n.decodePlacements(items))
+	n.placements.update(maps.Values(items), n.nodeKeys.Revision())
 	n.mu.Lock()
 	n.view.SetMembers(members, n.deps.Clock.Now())
 	n.view.SetOwners(owners, n.deps.Clock.Now())
@@ -65,22 +65,6 @@
 	n.claimRoles()
 }
 
-func (n *Node) decodePlacements(items map[string]bwkv.Item) []bwfleet.Placement {
-	var list []bwfleet.Placement
-	for key, item := range items {
-		if !strings.HasPrefix(key, prefixPlacements) {
-			continue
-		}
-		var p bwfleet.Placement
-		if err := json.Unmarshal(item.Value, &p); err != nil {
-			n.log.Error("failed to decode a placement", "key", key, "error", err.Error())
-			continue
-		}
-		list = append(list, p)
-	}
-	return list
-}
-
 // replacedRoles returns the roles that run in this process although their key has been removed
 // or has another revision. The caller must hold n.mu.
 func (n *Node) replacedRoles(owners map[string]bwownership.Owner) map[string]role {
@@ -220,7 +204,8 @@
 
 // newOwner returns the owner of a pool. The caller must hold n.mu.
 func (n *Node) newOwner(c bwownership.Claim, key string, fence int64) *bwowner.Owner {
-	ownership := bwowner.Ownership{Pool: c.Pool, Key: key, Fence: fence, PlacementPrefix: prefixPlacements + c.Pool + "/"}
+	ownership := bwowner.Ownership{Pool: c.Pool, Key: key, Fence: fence, PlacementPrefix: prefixPlacements + c.Pool + "/",
+		PlacementVersionPrefix: prefixPlacementVersions}
 	if c.PreviousOwnerMayAct {
 		ownership.PreviousOwnerGrace = leaseTTL
 	}
@@ -236,7 +221,7 @@
 		IsOwnershipConfirmed: n.isConfirmed,
 		IsOwnershipFresh:     n.isFresh,
 		IsRegistryFresh:      n.isRegistryFresh,
-		Placements:           n.placements.all,
+		Placements:           n.placements,
 		AskPool:              n.askPool,
 		OnLost:               n.roleLost,
 		Guard:                n.deps.Guard,
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -35,8 +35,13 @@
 	prefixNodes   = "nodes/"
 	prefixMembers = prefixNodes + "members/"
 	prefixOwners  = prefixNodes + "owners/"
+	// prefixPlacementKeys covers the placements and their versions. A list returns the versions first, so that it
+	// includes no version without the placements that belong to it.
+	prefixPlacementKeys = prefixNodes + "placement"
+	// prefixPlacementVersions is followed by an identity of a queue.
+	prefixPlacementVersions = prefixPlacementKeys + "Versions/"
 	// prefixPlacements is followed by the names of a pool and of a queue.
-	prefixPlacements = prefixNodes + "placements/"
+	prefixPlacements = prefixPlacementKeys + "s/"
 )
 
 const (
@@ -146,7 +151,7 @@
 	nodeKeys            *bwmirror.Mirror
 	operatorKeys        *bwmirror.Mirror
 	executorKeys        *bwmirror.Mirror
-	placements          placements
+	placements          *placements
 	goroutines          sync.WaitGroup
 	// decodedExecutors holds the valid registrations by key. Only the goroutine of the
 	// executors' mirror uses it.
@@ -194,6 +199,7 @@
 		relayLimits:         settings.Relays,
 	}
 	n.log = deps.Log.With("node", identity.Name)
+	n.placements = &placements{store: deps.Store, log: n.log}
 	n.calls = newCallTracker(n.log)
 	n.lease = newLease(deps.Store, deps.Clock, n.log, n.register)
 	self := bwownership.Member{Incarnation: n.incarnation, Address: identity.Address, Cores: identity.Cores}
--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -5,6 +5,7 @@
 
 	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
+	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwmesh"
 	"basilwood.example/basilwood/bwowner"
 	"basilwood.example/basilwood/bwrelay"
@@ -76,12 +77,13 @@
 	}
 }
 
-// askPool asks the owner of a pool for a job that the owner of claimingPool is about to accept.
-func (n *Node) askPool(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) bwowner.Reply {
+// askPool asks the owner of a pool for a job that the owner of claimingPool is about to accept. It returns the
+// reply with the key of that owner.
+func (n *Node) askPool(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) (bwowner.Reply, bwkv.Expectation) {
 	q := spec.AcceptedBy
 	q.Name = spec.Queue
 	reply, _ := n.stateIn(ctx, pool, q, spec.ID, claimingPool)
-	return reply
+	return reply, bwkv.Expectation{Key: prefixOwners + pool, Revision: reply.Fence}
 }
 
 // Cancel cancels a job.
@@ -104,7 +106,7 @@
 // one it returns the reply that claims least: the job is absent only if no owner knows it and the
 // placements were read recently.
 func (n *Node) askPools(ctx context.Context, call string, q bwfleet.Queue, id string, ask poolCall) bwowner.Reply {
-	others := bwfleet.OtherPools(n.placements.all(), q)
+	others := n.placements.Copy().OtherPools(q)
 	if len(others) == 0 {
 		reply, address := ask(ctx, q.Pool)
 		n.logReply(call, q, q.Pool, id, address, reply)
@@ -152,7 +154,7 @@
 // and whether it is known.
 func (n *Node) Pending(ctx context.Context, q bwfleet.Queue) (int, bool) {
 	sum := 0
-	for _, pool := range append([]string{q.Pool}, bwfleet.OtherPools(n.placements.all(), q)...) {
+	for _, pool := range append([]string{q.Pool}, n.placements.Copy().OtherPools(q)...) {
 		pending, known := n.pendingIn(ctx, pool, q)
 		if !known {
 			return 0, false
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -113,6 +113,8 @@
 	Fence int64
 	// PlacementPrefix is the prefix of the keys of the pool's placements.
 	PlacementPrefix string
+	// PlacementVersionPrefix is the prefix of the version keys of placements, which end with an identity of a queue.
+	PlacementVersionPrefix string
 	// PreviousOwnerGrace is how long the previous owner may still extend executor leases; 0 if
 	// it is known to have stopped.
 	PreviousOwnerGrace time.Duration
@@ -133,6 +135,14 @@
 	CrossRackFactor float64
 }
 
+// Placements provides the placements of all queues.
+type Placements interface {
+	// Copy returns the copy that was last read from the store.
+	Copy() bwfleet.Placements
+	// Refresh reads the placements. The copy then includes all changes that were stored before the call.
+	Refresh(ctx context.Context) error
+}
+
 // Deps holds the dependencies of an Owner.
 type Deps struct {
 	Store     Store
@@ -153,11 +163,10 @@
 	// IsRegistryFresh reports whether the registrations were read recently enough to rely on the
 	// capacity of the executors.
 	IsRegistryFresh func() bool
-	// Placements returns the placements of all queues, as last read from the store. The Owner does
-	// not modify the slice.
-	Placements func() []bwfleet.Placement
-	// AskPool asks the owner of a pool for a job that the owner of claimingPool is about to accept.
-	AskPool func(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) Reply
+	Placements      Placements
+	// AskPool asks the owner of a pool for a job that the owner of claimingPool is about to accept. It returns
+	// the reply, and the owner's key with the revision that it has while the reply holds.
+	AskPool func(ctx context.Context, pool string, spec *bwjob.Spec, claimingPool string) (Reply, bwkv.Expectation)
 	// OnLost is called once when another owner has taken over the pool, or this one has given it up.
 	OnLost func(pool, reason string)
 	// Guard contains panics, after which the owner gives up the pool.
@@ -187,7 +196,7 @@
 	unstoredWrites     map[string]int
 	endedAt            map[string]bwclock.Time
 	// routed holds the queues that the configuration sends to the pool, and placed those whose
-	// placement this owner has written or found. yielded holds the jobs left to other pools.
+	// placement this owner has stored or found. yielded holds the jobs left to other pools.
 	routed  map[string]bool
 	placed  map[string]bool
 	yielded map[string]yieldedJob
--- a/bwowner/owner_test.go
+++ b/bwowner/owner_test.go
@@ -84,6 +84,12 @@
 	return append([]bwschedule.Order(nil), x.starts...)
 }
 
+// noPlacements are the placements of queues that have no jobs yet.
+type noPlacements struct{}
+
+func (noPlacements) Copy() bwfleet.Placements      { return bwfleet.Placements{} }
+func (noPlacements) Refresh(context.Context) error { return nil }
+
 // newOwner runs an owner of a pool of executors, which it has just claimed, until the test ends.
 func newOwner(t *testing.T, x *scriptedExecutors, executors int) *bwowner.Owner {
 	return newOwnerOf(t, bwstandin.NewKV(1), x, executors)
@@ -96,7 +102,7 @@
 	o := bwowner.New(bwowner.Deps{
 		Store: kv, Executors: x, Clock: bwclock.New(), Log: hclog.NewNullLogger(),
 		IsOwnershipConfirmed: func() bool { return !x.isOwnershipUnconfirmed.Load() }, IsOwnershipFresh: always, IsRegistryFresh: always,
-		Placements: func() []bwfleet.Placement { return nil },
+		Placements: noPlacements{},
 		OnLost:     func(string, string) {},
 	}, bwowner.Ownership{Pool: "pool", Key: ownerKey, Fence: r.Revision, PlacementPrefix: "nodes/placements/pool/"},
 		bwowner.Settings{LeaseLength: 3500 * time.Millisecond, EndedJobRetention: time.Minute})
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"basilwood.example/basilwood/bwcommit"
 	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
+	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwmaintenance"
 )
 
@@ -36,6 +38,8 @@
 	State      State
 	Reason     string
 	RetryAfter time.Duration
+	// Fence is the fencing token of an owner that has left the job to another pool, or else 0.
+	Fence int64
 }
 
 // State is the state of a job as callers see it.
@@ -76,6 +80,8 @@
 	record []byte
 	done   chan struct{}
 	reply  Reply
+	// outdated counts the attempts that failed because the placements had changed.
+	outdated int
 }
 
 // Submit stores a job and returns once the outcome of the write is known or ctx is done. It
@@ -124,20 +130,18 @@
 	}
 	s := &submission{job: j, record: value, done: make(chan struct{})}
 	o.pendingSubmissions[spec.ID] = s
-	if pools := o.otherPools(spec); len(pools) > 0 {
-		o.spawn("askPools", func() { o.askOtherPools(s, pools) }, "job", spec.ID)
-		return s, Reply{}
-	}
-	o.storeSubmission(s)
+	o.placeSubmission(s)
 	return s, Reply{}
 }
 
-// storeSubmission queues the write of a new job's record. The caller holds the lock.
-func (o *Owner) storeSubmission(s *submission) {
-	o.committer.Add(append(o.placementWrites(s.job.Spec()), bwcommit.Write{
+// storeSubmission queues the write of a new job's record, which depends on the expected revisions. The caller
+// holds the lock.
+func (o *Owner) storeSubmission(s *submission, versions, owners []bwkv.Expectation) {
+	o.committer.Add(append(o.placementWrites(s.job.Spec(), versions), bwcommit.Write{
 		Key:       JobPrefix(o.ownership.Pool) + s.job.ID(),
 		Value:     s.record,
 		CanReject: true,
+		Expected:  slices.Concat(versions, owners),
 		Done:      func(outcome bwcommit.WriteOutcome) { o.finishSubmission(s, outcome) },
 	})...)
 }
@@ -157,8 +161,12 @@
 	defer o.mu.Unlock()
 	switch outcome {
 	case bwcommit.Stored:
+		delete(o.yielded, s.job.ID())
 		o.scheduler.Submit(s.job)
 		o.completeSubmission(s, Reply{Verdict: OK})
+	case bwcommit.Outdated:
+		s.outdated++
+		o.spawn("placeAgain", func() { o.placeAgain(s) }, "job", s.job.ID())
 	case bwcommit.NotStored:
 		o.completeSubmission(s, Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay})
 	default:
