bwnode: a cancel is answered 410 only by what the store says

A job whose queue had just been sent to another service was cancelled at another node; the answer was 410, and the job worked on for good.

The node took the pools that may hold the job from its copy of the placements, up to 2.2 s old, and an owner answers that it does not know a job although it may have been replaced since it last read its key.

Change: if no owner knows a job to cancel, the node reads the placements and the keys of the asked owners after their replies, and asks again if one has changed. A GET checks the age of its copy before it uses it, not after.

Why it works: at the time of the reads each asked owner still owned its pool, so that its reply covers all jobs accepted there, and no other pool had jobs of the queue.

--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
@@ -11,6 +12,10 @@
 	"basilwood.example/basilwood/bwrelay"
 )
 
+// maxAbsenceAttempts is how often the owners are asked for a job to cancel that none of them knows, while the pools
+// that may hold it change.
+const maxAbsenceAttempts = 3
+
 // ownerOf returns the owner of a pool if it runs in this process, or else the address of the
 // node that owns the pool. Both are empty if no owner is known.
 func (n *Node) ownerOf(pool string) (*bwowner.Owner, string) {
@@ -57,9 +62,14 @@
 
 // State returns the state of a job.
 func (n *Node) State(ctx context.Context, q bwfleet.Queue, id string) bwowner.Reply {
-	return n.askPools(ctx, "state", q, id, func(ctx context.Context, pool string) (bwowner.Reply, string) {
+	isRecent := n.hasRecentOwners(n.maxOwnersAge)
+	reply, _ := n.askPools(ctx, "state", q, id, func(ctx context.Context, pool string) (bwowner.Reply, string) {
 		return n.stateIn(ctx, pool, q, id, "")
 	})
+	if reply.Verdict == bwowner.Absent && !isRecent {
+		return uncertainPoolsReply()
+	}
+	return reply
 }
 
 // stateIn is the poolCall of State. claimingPool is empty, or the pool whose owner accepts the job if it is absent.
@@ -86,8 +96,23 @@
 	return reply, bwkv.Expectation{Key: prefixOwners + pool, Revision: reply.Fence}
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. Callers take an absent job for one that has ended, however recently it was accepted.
 func (n *Node) Cancel(ctx context.Context, q bwfleet.Queue, id string) bwowner.Reply {
+	for range maxAbsenceAttempts {
+		reply, fences := n.cancelIn(ctx, q, id)
+		if reply.Verdict != bwowner.Absent {
+			return reply
+		}
+		err := n.confirmAbsence(ctx, q, fences)
+		if err == nil {
+			return reply
+		}
+		n.log.Info("absence of a job not confirmed", "request", id, "queue", q.Name, "reason", err.Error())
+	}
+	return uncertainPoolsReply()
+}
+
+func (n *Node) cancelIn(ctx context.Context, q bwfleet.Queue, id string) (bwowner.Reply, map[string]int64) {
 	return n.askPools(ctx, "cancel", q, id, func(ctx context.Context, pool string) (bwowner.Reply, string) {
 		o, address := n.ownerOf(pool)
 		switch {
@@ -103,45 +128,69 @@
 
 // askPools sends a request about a job to the owner of the queue's pool and to those of the other
 // pools that may hold jobs of the queue. It returns the reply of the owner that knows the job. Without
-// one it returns the reply that claims least: the job is absent only if no owner knows it and the
-// placements were read recently.
-func (n *Node) askPools(ctx context.Context, call string, q bwfleet.Queue, id string, ask poolCall) bwowner.Reply {
+// one it returns the reply that claims least: the job is absent only if no owner knows it. It then also returns
+// the fencing tokens of the owners by pool.
+func (n *Node) askPools(ctx context.Context, call string, q bwfleet.Queue, id string, ask poolCall) (bwowner.Reply, map[string]int64) {
 	others := n.placements.Copy().OtherPools(q)
 	if len(others) == 0 {
 		reply, address := ask(ctx, q.Pool)
 		n.logReply(call, q, q.Pool, id, address, reply)
-		return n.qualifyAbsence(reply)
+		return reply, map[string]int64{q.Pool: reply.Fence}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies := make(chan bwowner.Reply, len(others)+1)
+	type poolReply struct {
+		bwowner.Reply
+		pool string
+	}
+	replies := make(chan poolReply, len(others)+1)
 	for _, pool := range append(others, q.Pool) {
 		go func() {
 			reply, address := ask(ctx, pool)
 			n.logReply(call, q, pool, id, address, reply)
-			replies <- reply
+			replies <- poolReply{Reply: reply, pool: pool}
 		}()
 	}
 	result := bwowner.Reply{Verdict: bwowner.Absent}
+	fences := make(map[string]int64, cap(replies))
 	for range cap(replies) {
 		reply := <-replies
 		if reply.Verdict == bwowner.OK {
-			return reply
+			return reply.Reply, nil
 		}
 		if claimsLess(reply.Verdict, result.Verdict) {
-			result = reply
+			result = reply.Reply
 		}
+		fences[reply.pool] = reply.Fence
 	}
-	return n.qualifyAbsence(result)
+	return result, fences
 }
 
-// qualifyAbsence returns the reply, or a refusal if the job is absent from the asked pools and other
-// pools may hold jobs of the queue that this node has not read of.
-func (n *Node) qualifyAbsence(reply bwowner.Reply) bwowner.Reply {
-	if reply.Verdict == bwowner.Absent && !n.hasRecentOwners(n.maxOwnersAge) {
-		return bwowner.Reply{Verdict: bwowner.Refused, Reason: "not certain which pools hold jobs of the queue", RetryAfter: bwowner.ShortRetryDelay}
+// confirmAbsence returns nil if, by reads that begin after their replies, the owners with the given fencing tokens
+// still own their pools, and no other pool may hold jobs of the queue.
+func (n *Node) confirmAbsence(ctx context.Context, q bwfleet.Queue, fences map[string]int64) error {
+	if err := n.placements.Refresh(ctx); err != nil {
+		return err
 	}
-	return reply
+	for _, pool := range n.placements.Copy().OtherPools(q) {
+		if _, isAsked := fences[pool]; !isAsked {
+			return fmt.Errorf("pool %q may know the job", pool)
+		}
+	}
+	for pool, fence := range fences {
+		key, err := n.deps.Store.Get(ctx, prefixOwners+pool)
+		if err != nil {
+			return err
+		}
+		if key.Revision != fence {
+			return fmt.Errorf("pool %q has another owner, with revision %d", pool, key.Revision)
+		}
+	}
+	return nil
+}
+
+func uncertainPoolsReply() bwowner.Reply {
+	return bwowner.Reply{Verdict: bwowner.Refused, Reason: "not certain which pools hold jobs of the queue", RetryAfter: bwowner.ShortRetryDelay}
 }
 
 // claimsLess reports whether verdict a claims less than b: an absent job is absent from all pools, a
--- a/bwnode/stale_placements_test.go
+++ b/bwnode/stale_placements_test.go
@@ -121,3 +121,69 @@
 		assert.Equal(t, len(c.executors.Violations()), 0, "%v", c.executors.Violations())
 	})
 }
+
+// nodeWithoutPool returns a node that owns neither pool.
+func (c *cluster) nodeWithoutPool() *testNode {
+	for _, node := range c.nodes {
+		if node != c.ownerOf("desk") && node != c.ownerOf("lab") {
+			return node
+		}
+	}
+	c.t.Fatal("each node owns a pool")
+	return nil
+}
+
+// Guards against a cancellation that is answered as if there were no such job while the job works on, because the
+// node that is asked does not know the job's pool yet.
+func TestCancelIsNotAnsweredByStalePlacements(t *testing.T) {
+	for _, delay := range []time.Duration{20 * time.Millisecond, 700 * time.Millisecond, 1900 * time.Millisecond, 4 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, 3, 2)
+				defer c.close()
+				time.Sleep(visibleTime)
+				asked := c.nodeWithoutPool()
+				asked.store.isNodesBlocked.Store(true)
+				q := c.queues[0]
+				c.submitTask(q, "lasting", bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, Estimate: 20 * time.Second, LongRunning: true})
+				moved := q
+				moved.Pool = "lab"
+				c.changeQueues(c.queues[1], moved)
+				time.Sleep(delay)
+				assert.Equal(t, asked.node.Cancel(t.Context(), moved, "lasting").Verdict, bwowner.OK)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, c.executors.Running(), 0)
+			})
+		})
+	}
+}
+
+// Guards against a cancellation that is answered as if there were no such job by a replaced owner, which does not
+// know it.
+func TestCancelIsNotAnsweredByAReplacedOwner(t *testing.T) {
+	for delay := time.Duration(0); delay < time.Second; delay += 100 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testCancelAtReplacedOwner(t, delay) })
+		})
+	}
+}
+
+func testCancelAtReplacedOwner(t *testing.T, delay time.Duration) {
+	c := newCluster(t, 1, 3, 2)
+	defer c.close()
+	time.Sleep(visibleTime + delay)
+	q := c.queues[0]
+	replaced := c.ownerOf("desk")
+	replaced.store.isNodesBlocked.Store(true)
+	c.network.Isolate(replaced.host)
+	for _, e := range c.executors.Registrations() {
+		replaced.executors.unreachable.Store(e.ID, true)
+	}
+	other := c.nodeWithoutPool()
+	lasting := bwjob.Step{Count: 1, Need: bwjob.Resources{CPU: 500}, LongRunning: true}
+	assert.Assert(t, eventually(2*time.Second, func() bool {
+		return other.node.Submit(t.Context(), q, &bwjob.Spec{ID: "lasting", Queue: q.Name, Steps: []bwjob.Step{lasting}}).Verdict == bwowner.OK
+	}))
+	assert.Assert(t, replaced.node.Cancel(t.Context(), q, "lasting").Verdict != bwowner.Absent)
+	assert.Equal(t, other.node.Cancel(t.Context(), q, "never submitted").Verdict, bwowner.Absent)
+}
--- a/bwowner/placements.go
+++ b/bwowner/placements.go
@@ -152,7 +152,6 @@
 	case !isOwner:
 		return Reply{Verdict: Refused, Reason: "pool has another owner", RetryAfter: ShortRetryDelay}
 	}
-	reply.Fence = o.ownership.Fence
 	return reply
 }
 
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -38,7 +38,7 @@
 	State      State
 	Reason     string
 	RetryAfter time.Duration
-	// Fence is the fencing token of an owner that has left the job to another pool, or else 0.
+	// Fence is the fencing token of the owner for which the job is absent, or else 0.
 	Fence int64
 }
 
@@ -220,7 +220,7 @@
 	if o.pendingSubmissions[id] != nil || !o.deps.IsOwnershipFresh() {
 		return Reply{Verdict: Refused, Reason: "not certain to own the pool", RetryAfter: ShortRetryDelay}
 	}
-	return Reply{Verdict: Absent}
+	return Reply{Verdict: Absent, Fence: o.ownership.Fence}
 }
 
 // stateOf returns the job's state as callers see it. A job that has ended is reported as
