bwjob: an accepted job is read back with the numbers it came with

A job with max_per_server was accepted and worked; after the planned stop of its owner it was stopped, and all nodes answered 410.

Cause: the record held numbers of 32 bits. Validate checked the submitted number, the record its low bits, and Decode refused those, so that the next owner left the job out. Milliseconds were also multiplied and added without regard to overflow, which made times far in the future due.

Change: 64 bits in the record, with the same encoding of smaller values; durations and times are limited to what their types hold; Validate refuses what a record cannot hold (parts of a millisecond, text that is not UTF-8). A job whose record cannot be read is not called absent and is not stored anew.

TestJobMachine draws large numbers of runs too.

--- a/bwclock/clock.go
+++ b/bwclock/clock.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"time"
 
@@ -22,14 +23,63 @@
 // instant that a Clock returns.
 const Never Time = 0
 
-// Add returns t+d, with d truncated to milliseconds.
+// Add returns t+d, with d truncated to milliseconds. The result is limited to what a Time holds.
 func (t Time) Add(d time.Duration) Time {
-	return t + Time(d.Milliseconds())
+	return t.AddMillis(d.Milliseconds())
 }
 
-// Sub returns the duration t-u.
+// AddMillis returns t plus n milliseconds, limited to what a Time holds.
+func (t Time) AddMillis(n int64) Time {
+	sum := int64(t) + n
+	if (sum < int64(t)) != (n < 0) {
+		return Time(limitOf(n > 0))
+	}
+	return Time(sum)
+}
+
+// Sub returns the duration t-u, limited to what a Duration holds.
 func (t Time) Sub(u Time) time.Duration {
-	return time.Duration(t-u) * time.Millisecond
+	difference := t - u
+	if (difference < t) != (u > 0) {
+		return Milliseconds(limitOf(u < 0))
+	}
+	return Milliseconds(int64(difference))
+}
+
+// limitOf returns the largest or the smallest integer.
+func limitOf(isLargest bool) int64 {
+	if isLargest {
+		return math.MaxInt64
+	}
+	return math.MinInt64
+}
+
+// Milliseconds returns n milliseconds, limited to the whole milliseconds that a Duration holds.
+func Milliseconds(n int64) time.Duration {
+	const limit = math.MaxInt64 / int64(time.Millisecond)
+	return time.Duration(max(-limit, min(n, limit))) * time.Millisecond
+}
+
+// AddDurations returns a+b, limited to what a Duration holds.
+func AddDurations(a, b time.Duration) time.Duration {
+	sum := a + b
+	if (sum < a) != (b < 0) {
+		return time.Duration(limitOf(b > 0))
+	}
+	return sum
+}
+
+// Scale returns d multiplied by a factor, limited to what a Duration holds.
+func Scale(d time.Duration, factor float64) time.Duration {
+	product := float64(d) * factor
+	switch {
+	case product >= math.MaxInt64:
+		return math.MaxInt64
+	case product <= math.MinInt64:
+		return math.MinInt64
+	default:
+		return time.Duration(product)
+	}
 }
 
 // Before reports whether t is before u.
--- a/bwjob/crash.go
+++ b/bwjob/crash.go
@@ -103,7 +103,7 @@
 	if step.Gang {
 		t = &j.occurrences[id.Occurrence].steps[id.Step].tasks[0]
 	}
-	if slices.Contains(t.crashedRuns, int32(c.Run)) {
+	if slices.Contains(t.crashedRuns, int64(c.Run)) {
 		return false
 	}
 	t.addCrash(c)
@@ -122,7 +122,7 @@
 	if c.HasWorked {
 		t.crashedRuns, t.earlyCrashes, t.aloneCrashes = nil, 0, 0
 	}
-	t.crashedRuns = append(t.crashedRuns, int32(c.Run))
+	t.crashedRuns = append(t.crashedRuns, int64(c.Run))
 	if c.IsEarly && !c.HasWorked {
 		t.earlyCrashes++
 	}
--- a/bwjob/job.go
+++ b/bwjob/job.go
@@ -329,7 +329,7 @@
 		return false
 	}
 	t := j.taskWithFailures(e.Task)
-	t.failedRuns = append(t.failedRuns, int32(e.Run))
+	t.failedRuns = append(t.failedRuns, int64(e.Run))
 	if len(t.failedRuns) >= maxAttempts {
 		j.end(Phase_failed)
 	}
@@ -364,7 +364,7 @@
 
 // HasFailed reports whether a run of the task with this number was counted as failed.
 func (j *Job) HasFailed(id TaskID, run int) bool {
-	return j.Task(id) != nil && slices.Contains(j.taskWithFailures(id).failedRuns, int32(run))
+	return j.Task(id) != nil && slices.Contains(j.taskWithFailures(id).failedRuns, int64(run))
 }
 
 // Cancel ends the job unless it has already ended.
--- a/bwjob/job_test.go
+++ b/bwjob/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 		j := bwjob.New(spec, now)
 		o := &oracle{done: make(map[bwjob.TaskID]bool), failures: make(map[bwjob.TaskID]map[int]bool)}
 		hasFailed := false
+		firstRun := rapid.SampledFrom([]int{1, math.MaxInt32 - 2, 1 << 40}).Draw(t, "firstRun")
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			if !j.IsActive() {
 				break
@@ -68,7 +70,7 @@
 			}
 			j.OpenDue(now.Add(time.Hour))
 			id := drawTask(t, spec)
-			e := bwjob.End{Task: id, Run: rapid.IntRange(1, 5).Draw(t, "run"),
+			e := bwjob.End{Task: id, Run: firstRun + rapid.IntRange(0, 4).Draw(t, "run"),
 				Kind: rapid.SampledFrom([]bwjob.EndKind{bwjob.EndDone, bwjob.EndFailed, bwjob.EndStopped, bwjob.EndLeaseExpired}).Draw(t, "kind")}
 			j.RecordEnd(e, attempts)
 			if o.done[id] {
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -1,8 +1,6 @@
 package bwjob
 
 import (
-	"time"
-
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwfleet"
 	"github.com/samber/oops"
@@ -15,7 +13,7 @@
 		Id:             j.spec.ID,
 		Queue:          j.spec.Queue,
 		Payload:        j.spec.Payload,
-		Times:          int32(j.spec.ScheduledOccurrences),
+		Times:          int64(j.spec.ScheduledOccurrences),
 		FirstMillis:    j.spec.FirstAt.Millis(),
 		IntervalMillis: j.spec.Interval.Milliseconds(),
 		AcceptedMillis: j.acceptedAt.Millis(),
@@ -27,7 +25,7 @@
 		r.Steps = append(r.Steps, s.toRecord())
 	}
 	for k := range j.finishedOccurrences {
-		r.FinishedOccurrences = append(r.FinishedOccurrences, int32(k))
+		r.FinishedOccurrences = append(r.FinishedOccurrences, int64(k))
 	}
 	for _, o := range j.occurrences {
 		if record := o.toRecord(); len(record.Tasks) > 0 {
@@ -51,7 +49,7 @@
 		Payload:              r.GetPayload(),
 		ScheduledOccurrences: int(r.GetTimes()),
 		FirstAt:              bwclock.Time(r.GetFirstMillis()),
-		Interval:             time.Duration(r.GetIntervalMillis()) * time.Millisecond,
+		Interval:             bwclock.Milliseconds(r.GetIntervalMillis()),
 		AcceptedBy:           r.GetAcceptedBy().toQueue(),
 	}
 	for _, s := range r.GetSteps() {
@@ -115,7 +113,7 @@
 }
 
 func (o *Occurrence) toRecord() *OccurrenceRecord {
-	r := &OccurrenceRecord{Index: int32(o.index)}
+	r := &OccurrenceRecord{Index: int64(o.index)}
 	for i, s := range o.steps {
 		for n := range s.tasks {
 			t := &s.tasks[n]
@@ -123,15 +121,15 @@
 				continue
 			}
 			r.Tasks = append(r.Tasks, &TaskRecord{
-				Step:         int32(i),
-				Index:        int32(n),
+				Step:         int64(i),
+				Index:        int64(n),
 				Done:         t.isDone,
 				FailedRuns:   t.failedRuns,
-				EndedRun:     int32(t.highestEndedRun),
+				EndedRun:     int64(t.highestEndedRun),
 				Checkpoint:   t.checkpointToStore(),
 				CrashedRuns:  t.crashedRuns,
-				EarlyCrashes: int32(t.earlyCrashes),
-				AloneCrashes: int32(t.aloneCrashes),
+				EarlyCrashes: int64(t.earlyCrashes),
+				AloneCrashes: int64(t.aloneCrashes),
 				Probation:    t.probation.toRecord(),
 			})
 		}
@@ -152,7 +150,7 @@
 	if p.Run == 0 {
 		return nil
 	}
-	return &ProbationRun{Run: int32(p.Run), Executor: p.Executor, Incarnation: p.Incarnation, Alone: p.IsAlone}
+	return &ProbationRun{Run: int64(p.Run), Executor: p.Executor, Incarnation: p.Incarnation, Alone: p.IsAlone}
 }
 
 func (r *ProbationRun) toProbation() Probation {
@@ -167,8 +165,8 @@
 	return &QueueRecord{
 		Host:                  q.Host,
 		Prefix:                q.Prefix,
-		Priority:              int32(q.Priority),
-		MaxAttempts:           int32(q.MaxAttempts),
+		Priority:              int64(q.Priority),
+		MaxAttempts:           int64(q.MaxAttempts),
 		Stretch:               q.Stretch,
 		ObjectiveOffsetMillis: q.ObjectiveOffset.Milliseconds(),
 		NeedsAdvice:           q.NeedsAdvice,
@@ -182,14 +180,14 @@
 		Priority:        int(r.GetPriority()),
 		MaxAttempts:     int(r.GetMaxAttempts()),
 		Stretch:         r.GetStretch(),
-		ObjectiveOffset: time.Duration(r.GetObjectiveOffsetMillis()) * time.Millisecond,
+		ObjectiveOffset: bwclock.Milliseconds(r.GetObjectiveOffsetMillis()),
 		NeedsAdvice:     r.GetNeedsAdvice(),
 	}
 }
 
 func (s Step) toRecord() *StepRecord {
 	r := &StepRecord{
-		Count:                  int32(s.Count),
+		Count:                  int64(s.Count),
 		CpuMillis:              s.Need.CPU,
 		MemoryMb:               s.Need.MemoryMB,
 		Accelerators:           s.Need.Accelerators,
@@ -199,35 +197,36 @@
 		SameRack:               s.SameRack,
 		Label:                  s.Label,
 		DataRack:               s.DataRack,
-		MaxPerExecutor:         int32(s.MaxPerExecutor),
+		MaxPerExecutor:         int64(s.MaxPerExecutor),
 		Speculative:            s.Speculative,
 		LongRunning:            s.LongRunning,
 		Image:                  s.Image,
 		LatencyObjectiveMillis: s.LatencyObjective.Milliseconds(),
 		Fills:                  s.BestEffort,
-		DisruptionBudget:       int32(s.DisruptionBudget),
+		DisruptionBudget:       int64(s.DisruptionBudget),
 	}
 	for _, dependency := range s.DependsOn {
-		r.After = append(r.After, int32(dependency))
+		r.After = append(r.After, int64(dependency))
 	}
 	return r
 }
 
 func (r *StepRecord) toStep() Step {
 	s := Step{
-		Count:            int(r.GetCount()),
-		Need:             Resources{CPU: r.GetCpuMillis(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators()},
-		Estimate:         time.Duration(r.GetEstimateMillis()) * time.Millisecond,
-		Checkpointing:    r.GetCheckpointing(),
-		Gang:             r.GetGang(),
-		SameRack:         r.GetSameRack(),
-		Label:            r.GetLabel(),
-		DataRack:         r.GetDataRack(),
-		MaxPerExecutor:   int(r.GetMaxPerExecutor()),
+		Count:         int(r.GetCount()),
+		Need:          Resources{CPU: r.GetCpuMillis(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators()},
+		Estimate:      bwclock.Milliseconds(r.GetEstimateMillis()),
+		Checkpointing: r.GetCheckpointing(),
+		Gang:          r.GetGang(),
+		SameRack:      r.GetSameRack(),
+		Label:         r.GetLabel(),
+		DataRack:      r.GetDataRack(),
+		// Earlier versions stored some numbers above 2^31 as negative ones.
+		MaxPerExecutor:   max(0, int(r.GetMaxPerExecutor())),
 		Speculative:      r.GetSpeculative(),
 		LongRunning:      r.GetLongRunning(),
 		Image:            r.GetImage(),
-		LatencyObjective: time.Duration(r.GetLatencyObjectiveMillis()) * time.Millisecond,
+		LatencyObjective: bwclock.Milliseconds(r.GetLatencyObjectiveMillis()),
 		BestEffort:       r.GetFills(),
 		DisruptionBudget: int(r.GetDisruptionBudget()),
 	}
--- a/bwjob/spec.go
+++ b/bwjob/spec.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwfleet"
@@ -141,7 +142,7 @@
 	if s.ScheduledOccurrences == 0 {
 		return bwclock.Never
 	}
-	return s.FirstAt.Add(time.Duration(occurrence) * s.Interval)
+	return s.FirstAt.AddMillis(int64(occurrence) * s.Interval.Milliseconds())
 }
 
 // CriticalPath returns the estimated duration of the longest chain of dependent steps.
@@ -152,22 +153,55 @@
 		for _, dependency := range step.DependsOn {
 			ends[i] = max(ends[i], ends[dependency])
 		}
-		ends[i] += step.Estimate
+		ends[i] = bwclock.AddDurations(ends[i], step.Estimate)
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
-// Validate returns an error that describes the first invalid value of the submission.
+// Validate returns an error that describes the first invalid value of the submission. Decode returns a valid job as
+// it was encoded.
 func (s *Spec) Validate() error {
+	if err := s.validateParts(); err != nil {
+		return err
+	}
 	if n := s.taskCount(); n > MaxTasks {
 		return fmt.Errorf("job has %d tasks, want at most %d", n, MaxTasks)
 	}
-	return s.validateParts()
+	if !isStorable(s.Interval) {
+		return fmt.Errorf("interval of %s is not in whole milliseconds", s.Interval)
+	}
+	for _, text := range []string{s.ID, s.Queue, s.Payload} {
+		if !utf8.ValidString(text) {
+			return fmt.Errorf("text %q is not valid UTF-8", text)
+		}
+	}
+	for i, step := range s.Steps {
+		if err := step.validateEncoding(); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// isStorable reports whether a record holds the duration as it is.
+func isStorable(d time.Duration) bool { return d%time.Millisecond == 0 }
+
+// validateEncoding checks that a record holds the values of the step as they are.
+func (s Step) validateEncoding() error {
+	if !isStorable(s.Estimate) || !isStorable(s.LatencyObjective) {
+		return fmt.Errorf("estimate of %s or latency objective of %s is not in whole milliseconds", s.Estimate, s.LatencyObjective)
+	}
+	for _, text := range []string{s.Label, s.DataRack, s.Image} {
+		if !utf8.ValidString(text) {
+			return fmt.Errorf("text %q is not valid UTF-8", text)
+		}
+	}
+	return nil
 }
 
-// validateParts checks everything but the number of all tasks, of which earlier versions have accepted
-// more than MaxTasks.
+// validateParts checks the values that earlier versions have checked too, so that Decode accepts every job that
+// one of them has accepted.
 func (s *Spec) validateParts() error {
 	if s.ID == "" {
 		return fmt.Errorf("job has no id")
--- a/bwjob/task.go
+++ b/bwjob/task.go
@@ -66,13 +66,13 @@
 // Task is the state of one task.
 type Task struct {
 	isDone          bool
-	failedRuns      []int32
+	failedRuns      []int64
 	run             int
 	highestEndedRun int
 	checkpoint      string
 	executor        string
 	// crashedRuns holds the numbers of the runs during which an executor crashed.
-	crashedRuns []int32
+	crashedRuns []int64
 	// earlyCrashes is how many of the crashes came soon after the start of the run, and
 	// aloneCrashes how many came while no other task ran on the executor.
 	earlyCrashes int
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"basilwood.example/basilwood/bwclock"
@@ -115,7 +116,8 @@
 	j, err := bwjob.Decode(item.Value)
 	if err != nil {
 		// The record stays in the store, so that a version that can decode it still knows
-		// the job.
+		// the job. Callers are not told that there is no such job, and it is not stored again.
+		o.unreadable[strings.TrimPrefix(item.Key, JobPrefix(o.ownership.Pool))] = true
 		o.log.Error("cannot decode stored job record", "key", item.Key, "revision", item.Revision, "error", err.Error())
 		return nil
 	}
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -200,6 +200,8 @@
 	routed  map[string]bool
 	placed  map[string]bool
 	yielded map[string]yieldedJob
+	// unreadable holds the jobs whose stored records cannot be decoded.
+	unreadable map[string]bool
 	// listedExecutors holds the executors on the latest list, which may not be stored yet, with the number of the
 	// first of the successive lists that name them. storedList is the number of the list that was stored last.
 	listedExecutors map[string]int64
@@ -245,6 +247,7 @@
 		routed:             make(map[string]bool),
 		placed:             make(map[string]bool),
 		yielded:            make(map[string]yieldedJob),
+		unreadable:         make(map[string]bool),
 		listedExecutors:    make(map[string]int64),
 	}
 }
--- a/bwowner/requests.go
+++ b/bwowner/requests.go
@@ -115,6 +115,9 @@
 	if s := o.pendingSubmissions[spec.ID]; s != nil {
 		return s, Reply{}
 	}
+	if o.unreadable[spec.ID] {
+		return nil, Reply{Verdict: Unknown, Reason: "stored record of the job cannot be read"}
+	}
 	now := o.deps.Clock.Now()
 	if o.committer.IsFailing(now) {
 		return nil, Reply{Verdict: Refused, Reason: "store does not take writes", RetryAfter: storeRetryDelay}
@@ -217,6 +220,9 @@
 // as absent only if the job is not being submitted and this process is certain to own the
 // pool still.
 func (o *Owner) absentReply(id string) Reply {
+	if o.unreadable[id] {
+		return Reply{Verdict: Refused, Reason: "stored record of the job cannot be read", RetryAfter: ShortRetryDelay}
+	}
 	if o.pendingSubmissions[id] != nil || !o.deps.IsOwnershipFresh() {
 		return Reply{Verdict: Refused, Reason: "not certain to own the pool", RetryAfter: ShortRetryDelay}
 	}
--- a/bwschedule/queue.go
+++ b/bwschedule/queue.go
@@ -12,7 +12,6 @@
 
 import (
 	"math"
-	"time"
 
 	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwfleet"
@@ -21,8 +20,8 @@
 
 // latencyDeadline returns the time by which a job must be done to meet its latency objective.
 func latencyDeadline(q bwfleet.Queue, j *bwjob.Job) bwclock.Time {
-	criticalPath := float64(j.Spec().CriticalPath()) * q.Stretch
-	return j.AcceptedAt().Add(time.Duration(criticalPath) + q.ObjectiveOffset)
+	objective := bwclock.AddDurations(bwclock.Scale(j.Spec().CriticalPath(), q.Stretch), q.ObjectiveOffset)
+	return j.AcceptedAt().Add(objective)
 }
 
 // settingsOf returns the settings of a job's queue: those of the latest configuration that had the
--- a/bwschedule/rack.go
+++ b/bwschedule/rack.go
@@ -154,7 +154,7 @@
 		return true
 	}
 	s := p.scheduler
-	loss := time.Duration((s.crossRackFactor - 1) * float64(step.Estimate))
+	loss := bwclock.Scale(step.Estimate, s.crossRackFactor-1)
 	if p.now.Sub(s.rackWaitSince(p.stepID(), p.now)) >= loss {
 		return true
 	}
@@ -162,7 +162,7 @@
 	if !isKnown || p.job.Spec().ScheduledOccurrences > 0 {
 		return false
 	}
-	spare := latencyDeadline(q, p.job).Sub(p.now) - p.remainingDuration() - loss
+	spare := bwclock.AddDurations(latencyDeadline(q, p.job).Sub(p.now), -bwclock.AddDurations(p.remainingDuration(), loss))
 	return spare >= 0 && spare < crossRackWindow
 }
 
@@ -171,7 +171,7 @@
 	var d time.Duration
 	for i, step := range p.job.Spec().Steps {
 		if !step.LongRunning && p.occurrence.CountUnfinished(i) > 0 {
-			d += step.Estimate
+			d = bwclock.AddDurations(d, step.Estimate)
 		}
 	}
 	return d
