bwschedule: a request for advice names what can be answered in time

Once executors were added to a service whose queue has advice, accepted jobs never started, although the policy service allowed all executors.

Cause: a request named all executors, and its duration grows with their number. From some number on the tickets had expired when they came, and the same request was sent again for good. The times of the queue were not read.

Change: the configuration's times are read and kept with the job. A request names as many executors as leave half of the tickets' lifetime, those with room first; denied ones are remembered for their incarnation, and later requests name the others. A gang gets one request for all its tasks. Tickets that would have expired on arrival are used from the reply on. Requests of one node are sent in turn.

Why it works: the time of a request is limited by the lifetime, not by the size of the pool, and each request tells about executors that were not known before, so that all are reached.

--- a/bwfleet/fleet.go
+++ b/bwfleet/fleet.go
@@ -28,6 +28,17 @@
 	ObjectiveOffset time.Duration
 	// NeedsAdvice is set if only the policy service knows which executors may run a step.
 	NeedsAdvice bool
+	Advice      AdviceTimes
+}
+
+// AdviceTimes tells how long the policy service takes for a queue, and how long its tickets are valid. The zero value
+// stands for times that are not known.
+type AdviceTimes struct {
+	// Decision is the duration of a request without the executors that it names, and PerExecutor that of each.
+	Decision    time.Duration
+	PerExecutor time.Duration
+	// TicketLifetime is how long the tickets of a reply are valid.
+	TicketLifetime time.Duration
 }
 
 // Pool is a set of hosts that run the tasks of some queues.
--- a/bwjob/record.go
+++ b/bwjob/record.go
@@ -170,6 +170,10 @@
 		Stretch:               q.Stretch,
 		ObjectiveOffsetMillis: q.ObjectiveOffset.Milliseconds(),
 		NeedsAdvice:           q.NeedsAdvice,
+
+		AdviceDecisionMillis:    q.Advice.Decision.Milliseconds(),
+		AdvicePerExecutorMillis: q.Advice.PerExecutor.Milliseconds(),
+		TicketLifetimeMillis:    q.Advice.TicketLifetime.Milliseconds(),
 	}
 }
 
@@ -182,6 +186,11 @@
 		Stretch:         r.GetStretch(),
 		ObjectiveOffset: bwclock.Milliseconds(r.GetObjectiveOffsetMillis()),
 		NeedsAdvice:     r.GetNeedsAdvice(),
+		Advice: bwfleet.AdviceTimes{
+			Decision:       bwclock.Milliseconds(r.GetAdviceDecisionMillis()),
+			PerExecutor:    bwclock.Milliseconds(r.GetAdvicePerExecutorMillis()),
+			TicketLifetime: bwclock.Milliseconds(r.GetTicketLifetimeMillis()),
+		},
 	}
 }
 
--- a/bwjob/record_test.go
+++ b/bwjob/record_test.go
@@ -43,6 +43,8 @@
 			Host: "h", Prefix: "/p/", Priority: rapid.Int().Draw(t, "priority"), MaxAttempts: rapid.Int().Draw(t, "attempts"),
 			Stretch: rapid.Float64().Draw(t, "stretch"), ObjectiveOffset: bwclock.Milliseconds(rapid.Int64().Draw(t, "offset")),
 			NeedsAdvice: rapid.Bool().Draw(t, "advice"),
+			Advice: bwfleet.AdviceTimes{Decision: bwclock.Milliseconds(rapid.Int64().Draw(t, "decision")),
+				PerExecutor: bwclock.Milliseconds(rapid.Int64().Draw(t, "perExecutor")), TicketLifetime: bwclock.Milliseconds(rapid.Int64().Draw(t, "lifetime"))},
 		},
 	}
 	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -347,7 +347,7 @@
 		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		o.scheduler.HandleAdvice(request, advice, err == nil, requestedAt)
+		o.scheduler.HandleAdvice(request, advice, err == nil, requestedAt, o.deps.Clock.Now())
 		o.requestPass()
 	}, "job", request.Step.Job)
 }
--- a/bwschedule/place.go
+++ b/bwschedule/place.go
@@ -129,7 +129,7 @@
 // startTask assigns a task to an executor and queues the start order. The fields are added to the log.
 func (s *Scheduler) startTask(j *bwjob.Job, id bwjob.TaskID, e *bwexecutor.Executor, run int, now bwclock.Time, fields ...any) {
 	t := j.Task(id)
-	ticket, _ := s.advice.ticket(stepIDOf(id), e.ID(), now)
+	ticket, _ := s.advice.ticket(stepIDOf(id), e, now)
 	o := Order{Kind: Start, Executor: e.ID(), Task: id, Run: run, Payload: j.Spec().Payload, Checkpoint: t.Checkpoint(), Ticket: ticket}
 	j.Assign(id, e.ID(), run)
 	if t.IsSuspect() {
@@ -165,7 +165,7 @@
 		list = withLabel(list, step.Label)
 	}
 	if q, _ := p.scheduler.settingsOf(p.job); q.NeedsAdvice {
-		list = p.withTickets(list)
+		list = p.withTickets(list, q.Advice)
 	}
 	if step.SameRack {
 		list = p.withinOneRack(list)
@@ -183,24 +183,6 @@
 	return list
 }
 
-// withTickets returns the executors for which the policy service has issued tickets, and
-// requests new tickets if needed.
-func (p *placement) withTickets(list []*bwexecutor.Executor) []*bwexecutor.Executor {
-	id := p.stepID()
-	var allowed []*bwexecutor.Executor
-	var ids []string
-	for _, e := range list {
-		ids = append(ids, e.ID())
-		if _, ok := p.scheduler.advice.ticket(id, e.ID(), p.now); ok {
-			allowed = append(allowed, e)
-		}
-	}
-	if len(ids) > 0 {
-		p.scheduler.advice.request(id, ids, p.now)
-	}
-	return allowed
-}
-
 // chooseExecutor returns the executor with the best score that has capacity for the task, or
 // nil.
 func (p *placement) chooseExecutor(t *bwjob.Task) *bwexecutor.Executor {
--- a/bwschedule/scheduler_test.go
+++ b/bwschedule/scheduler_test.go
@@ -320,7 +320,7 @@
 	request, ok := h.s.NextAdviceRequest()
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, request.Executors, []string{"e0", "e1"})
-	h.s.HandleAdvice(request, bwschedule.Advice{Tickets: map[string]string{"e1": "ticket"}, ValidFor: 3 * time.Second}, true, h.now)
+	h.s.HandleAdvice(request, bwschedule.Advice{Tickets: map[string]string{"e1": "ticket"}, ValidFor: 3 * time.Second}, true, h.now, h.now)
 	for _, o := range h.scheduleStarts() {
 		assert.Equal(t, o.Executor, "e1")
 		assert.Equal(t, o.Ticket, "ticket")
