bwmesh: attempts of a call that fails at once are 50 ms apart

Cause: a call between nodes that gets an error at once was repeated without a pause.

Change: from the second attempt on, attempts start 50 ms apart. A forwarded submission that cannot be decoded gets a reply.

Evidence: TestCallThatFailsAtOnceIsRepeatedWithPauses did not end before (20 s) and passes.

--- a/bwmesh/mesh.go
+++ b/bwmesh/mesh.go
@@ -12,6 +12,7 @@
 	"net"
 	"time"
 
+	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwfleet"
 	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwmaintenance"
@@ -28,6 +29,9 @@
 	// long an unresponsive connection delays a request, and leaves enough time for a slow reply
 	// of the store.
 	minAttemptTimeout = 900 * time.Millisecond
+	// retryDelay is the minimum time between the starts of two attempts of a call. The second attempt follows at
+	// once, because the connection may have broken before the first.
+	retryDelay = 50 * time.Millisecond
 	// pingTimeout is several times the latency between data centres.
 	pingTimeout = 400 * time.Millisecond
 )
@@ -155,7 +159,8 @@
 // done.
 func (m *Mesh) callWithRetry(ctx context.Context, address string, call jobCall) bwowner.Reply {
 	mayHaveBeenDelivered := false
-	for {
+	for attempt := 1; ; attempt++ {
+		startedAt := time.Now()
 		reply, err := m.callOnce(ctx, address, call)
 		if err == nil {
 			return decodeReply(reply, mayHaveBeenDelivered)
@@ -168,6 +173,9 @@
 		if isDialError || ctx.Err() != nil {
 			return bwowner.Reply{Verdict: bwowner.Unknown, Reason: "owner does not answer: " + err.Error()}
 		}
+		if attempt > 1 {
+			bwclock.Sleep(ctx, retryDelay-time.Since(startedAt))
+		}
 	}
 }
 
--- a/bwmesh/mesh_test.go
+++ b/bwmesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -138,3 +139,36 @@
 		})
 	}
 }
+
+// failingNode fails all submissions at once.
+type failingNode struct {
+	bwmesh.DRPCNodeUnimplementedServer
+	calls atomic.Int64
+}
+
+func (n *failingNode) Submit(context.Context, *bwmesh.JobRequest) (*bwmesh.JobReply, error) {
+	n.calls.Add(1)
+	return nil, errors.New("failed")
+}
+
+// Guards against a call that keeps two nodes busy with attempts until its caller leaves.
+func TestCallThatFailsAtOnceIsRepeatedWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, network := &failingNode{}, bwpipe.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		served := make(chan struct{})
+		listener := network.Listen(address)
+		go func() {
+			defer close(served)
+			_ = bwmesh.Serve(ctx, listener, bwmesh.Services{Node: n}, nil)
+		}()
+		mesh := bwmesh.New(network.Dialer("10.0.0.2"))
+		caller, leave := context.WithTimeout(ctx, time.Second)
+		assert.Equal(t, mesh.Submit(caller, address, "pool", nil).Verdict, bwowner.Unknown)
+		assert.Assert(t, n.calls.Load() >= 10 && n.calls.Load() <= 25, "%d calls in a second", n.calls.Load())
+		leave()
+		mesh.Close()
+		cancel()
+		<-served
+	})
+}
--- a/bwnode/requests.go
+++ b/bwnode/requests.go
@@ -278,7 +278,8 @@
 	}
 	spec, err := bwmesh.DecodeSubmission(r)
 	if err != nil {
-		return nil, err
+		s.log.Error("failed to decode a forwarded job", "pool", r.GetPool(), "error", err.Error())
+		return bwmesh.EncodeReply(bwowner.Reply{Verdict: bwowner.Unknown, Reason: "forwarded job cannot be decoded"}), nil
 	}
 	return bwmesh.EncodeReply(o.Submit(ctx, spec)), nil
 }
