bwschedule: a restart releases no start that the new incarnation may have accepted

One node started two runs of a task 11 ms apart; the first was stopped 0.64 s later.

Cause: an executor that is back under its ID accepts starts that were meant for its former life, and the reply does not name the life. If the report that shows the restart was requested before such a start was accepted, the run was taken for one of the former life, released and started elsewhere, beside the run at work.

Change: a run that no report has listed, and that was accepted after the request of the report that shows a restart, is settled like a start without an answer. So is one whose stop had no answer yet.

Why it works: if the new life runs it, its next report lists it and the task keeps it; if not, a stop that the new life acknowledges bars it.

Evidence: TestStartAcceptedByTheRestartedExecutorKeepsItsTask failed before and passes; TestStartAcceptedBeforeARestartIsRepeated passes before and after.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -53,7 +53,9 @@
 	OrderedAt bwclock.Time
 	// ConfirmedAt is when a reply or a report first showed that the run exists.
 	ConfirmedAt bwclock.Time
-	Status      RunStatus
+	// IsListed is set once a report has listed the run. A reply does not tell which incarnation accepted the start.
+	IsListed bool
+	Status   RunStatus
 	// IsOrphaned marks a run that its task no longer needs: its end does not release the task.
 	IsOrphaned bool
 	// HasUnknownSize marks a run whose resources are unknown because its job is gone.
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -16,7 +16,7 @@
 	if e.HasReported() && e.Incarnation() != r.Incarnation {
 		s.log.Warn("executor has restarted", "executor", id, "incarnation", r.Incarnation, "previous", e.Incarnation(),
 			"lostRuns", len(e.Runs()), "evidenceAge", age(sentAt, now))
-		s.resetExecutor(e, s.startsInFlight(e), now)
+		s.resetExecutor(e, s.startsInFlight(e, sentAt), now)
 	}
 	if !e.HasReported() {
 		s.log.Info("executor has reported for the first time", "executor", id, "incarnation", r.Incarnation, "runs", len(r.Running),
@@ -120,6 +120,7 @@
 		r = s.adoptRun(e, status, now)
 	}
 	r.Status = status
+	r.IsListed = true
 	if r.ConfirmedAt == bwclock.Never {
 		r.ConfirmedAt = now
 	}
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -55,13 +55,15 @@
 	}
 }
 
-// startsInFlight returns the runs of an executor whose start orders were sent and have no known outcome. The
-// next incarnation accepts them, because orders name the executor by its ID, which it keeps.
-func (s *Scheduler) startsInFlight(e *bwexecutor.Executor) map[bwjob.TaskID]*bwexecutor.Run {
+// startsInFlight returns the runs of an executor that may be runs of its next incarnation, whose first report was
+// requested at sentAt: their start orders were sent, and have no answer, or one that came after the request while
+// no report of the earlier incarnation had listed them. The next incarnation accepts such orders, because they name
+// the executor by its ID, which it keeps.
+func (s *Scheduler) startsInFlight(e *bwexecutor.Executor, sentAt bwclock.Time) map[bwjob.TaskID]*bwexecutor.Run {
 	list := make(map[bwjob.TaskID]*bwexecutor.Run)
 	for id, r := range e.Runs() {
-		isSent := r.Phase == bwexecutor.Starting && r.StartExpiresAt > 0 || r.Phase == bwexecutor.Indeterminate
-		if isSent && r.ConfirmedAt == bwclock.Never {
+		isSent := r.Phase != bwexecutor.Starting || r.StartExpiresAt > 0
+		if isSent && (r.ConfirmedAt == bwclock.Never || !r.IsListed && sentAt.Before(r.ConfirmedAt)) {
 			list[id] = r
 		}
 	}
--- a/bwschedule/restart_test.go
+++ b/bwschedule/restart_test.go
@@ -63,3 +63,58 @@
 	}
 	t.Fatal("the task is not started again")
 }
+
+// Guards against a task that runs twice because the restarted executor has accepted its start before a report showed
+// the restart.
+func TestStartAcceptedByTheRestartedExecutorKeepsItsTask(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", newStep(1000, 1))
+	o := h.s.Schedule(h.now)[0]
+	h.s.RecordStartLease(o, h.now.Add(lease).Millis())
+	requestedAt := h.now
+	h.advance(5 * time.Millisecond)
+	h.s.HandleResult(o, bwschedule.Accepted, h.now)
+	h.advance(5 * time.Millisecond)
+	// The report was requested before the start.
+	r := h.s.Executor(o.Executor).Registration()
+	r.Incarnation++
+	h.s.Register(r)
+	h.s.HandleReport(o.Executor, bwexecutor.Report{Incarnation: r.Incarnation}, requestedAt, h.now)
+	for _, order := range h.s.Schedule(h.now) {
+		assert.Check(t, order.Kind != bwschedule.Start, "%+v", order)
+	}
+	h.advance(20 * time.Millisecond)
+	h.report(o.Executor, bwexecutor.Report{Incarnation: r.Incarnation, Running: []bwexecutor.RunStatus{{Task: o.Task, Run: o.Run, Percent: 100}}})
+	run := h.s.Executor(o.Executor).Run(o.Task)
+	assert.Assert(t, run != nil && !run.IsOrphaned, "%+v", run)
+	assert.Equal(t, run.Phase, bwexecutor.Running)
+}
+
+// A start that was accepted before a restart is settled if the new incarnation does not list it.
+func TestStartAcceptedBeforeARestartIsRepeated(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", newStep(1000, 1))
+	o := h.s.Schedule(h.now)[0]
+	h.s.RecordStartLease(o, h.now.Add(lease).Millis())
+	h.s.HandleResult(o, bwschedule.Accepted, h.now)
+	h.crash(o.Executor)
+	assert.Equal(t, h.nextStart(500*time.Millisecond).Run, o.Run+1)
+}
+
+// nextStart plays reports of empty executors and passes until a task is started, and returns the order. All orders
+// are accepted.
+func (h *harness) nextStart(d time.Duration) bwschedule.Order {
+	for end := h.now.Add(d); h.now.Before(end); h.advance(50 * time.Millisecond) {
+		for _, id := range h.s.ExecutorIDs() {
+			h.report(id, bwexecutor.Report{Incarnation: h.s.Executor(id).Incarnation()})
+		}
+		for _, order := range h.s.Schedule(h.now) {
+			h.s.HandleResult(order, bwschedule.Accepted, h.now)
+			if order.Kind == bwschedule.Start {
+				return order
+			}
+		}
+	}
+	h.t.Fatalf("no task is started within %s", d)
+	return bwschedule.Order{}
+}
