bwschedule: the lease of a restarted executor may be the longest

The run of an executor that had restarted and was then cut off lapsed 9 s after its start; a new owner had started the task again after 5.6 s.

Cause: a lease renewal names an end on the executor's clock, which starts anew with a restart. A renewal for the former life that the next one takes grants the longest lease.

Change: after a restart no lease of the executor counts as over until the longest one has passed. A new owner does the same for listed executors, from 2 s after the start of their present life.

--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -22,6 +22,10 @@
 		s.log.Info("executor has reported for the first time", "executor", id, "incarnation", r.Incarnation, "runs", len(r.Running),
 			"ends", len(r.Ended), "awaited", s.IsAwaited(id), "awaitedExecutors", len(s.awaited), "evidenceAge", age(sentAt, now))
 	}
+	if !e.HasReported() && s.IsAwaited(id) {
+		// The previous owner may have had calls in flight to an earlier incarnation.
+		e.HoldLease(s.LongestLeaseEnd(r.Incarnation))
+	}
 	s.resolveProbations(id, r.Incarnation, now)
 	e.TakeLostRuns()
 	e.RecordReport(r.Incarnation, now)
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -17,8 +17,24 @@
 	defaultMaxLease = 10 * time.Second
 	// maxLeaseDriftPercent is how much slower an executor's clock may run.
 	maxLeaseDriftPercent = 2
+	// restartNoticeTime is how long after its start an executor may execute calls that were meant for its earlier
+	// incarnation: until a report has shown the restart.
+	restartNoticeTime = 2 * time.Second
+	// maxClockError is the difference between the clocks of hosts that is allowed for.
+	maxClockError = 500 * time.Millisecond
 )
 
+// longestLease returns how long the longest lease that an executor grants may last.
+func (s *Scheduler) longestLease() time.Duration {
+	return s.maxLease + s.maxLease*maxLeaseDriftPercent/100
+}
+
+// LongestLeaseEnd returns a time by which a lease has ended that an incarnation of an executor granted by a call
+// that was meant for its earlier incarnation.
+func (s *Scheduler) LongestLeaseEnd(incarnation int64) bwclock.Time {
+	return bwclock.Time(incarnation).Add(restartNoticeTime + s.longestLease() + maxClockError)
+}
+
 // resetExecutor releases the tasks of an executor that has restarted, and records the crash. The runs in
 // inFlight keep their tasks, because their starts may still take effect.
 func (s *Scheduler) resetExecutor(e *bwexecutor.Executor, inFlight map[bwjob.TaskID]*bwexecutor.Run, now bwclock.Time) {
@@ -37,10 +53,8 @@
 	for _, run := range inFlight {
 		s.keepStart(e, run)
 	}
-	if len(inFlight) > 0 {
-		// The end of a lease that a start names is a time on the clock of the earlier incarnation.
-		e.HoldLease(now.Add(s.maxLease + s.maxLease*maxLeaseDriftPercent/100))
-	}
+	// Calls that were meant for the earlier incarnation name the end of a lease on its clock.
+	e.HoldLease(now.Add(s.longestLease()))
 	s.logLostTasks(e, lost, "executor has restarted", now)
 	if e.Registration().IsDraining {
 		// A draining executor ends by itself.
--- a/bwschedule/restart_test.go
+++ b/bwschedule/restart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilwood.example/basilwood/bwexecutor"
+	"basilwood.example/basilwood/bwjob"
 	"basilwood.example/basilwood/bwschedule"
 	"gotest.tools/v3/assert"
 )
@@ -118,3 +119,45 @@
 	h.t.Fatalf("no task is started within %s", d)
 	return bwschedule.Order{}
 }
+
+// Guards against a task that runs twice because a lease renewal that was meant for the earlier incarnation of an
+// executor has given the next one a longer lease.
+func TestLeaseOfARestartedExecutorMayBeTheLongest(t *testing.T) {
+	h := newHarness(t, 2)
+	h.crash("e0")
+	h.submit("j", newStep(1000, 1))
+	o := h.nextStart(500 * time.Millisecond)
+	assert.Equal(t, o.Executor, "e0")
+	h.report("e0", bwexecutor.Report{Incarnation: 2, Running: []bwexecutor.RunStatus{{Task: o.Task, Run: o.Run, Percent: 100}}})
+	silentFrom := h.now
+	h.s.Executor("e0").RecordMissedReport()
+	for h.now.Sub(silentFrom) < 9500*time.Millisecond {
+		h.advance(500 * time.Millisecond)
+		h.report("e1", bwexecutor.Report{Incarnation: 1})
+		h.s.Expire(h.now, h.now)
+		assert.Equal(t, len(h.scheduleStarts()), 0, "started %s after the last report", h.now.Sub(silentFrom))
+	}
+	h.advance(time.Second)
+	h.report("e1", bwexecutor.Report{Incarnation: 1})
+	h.s.Expire(h.now, h.now)
+	assert.Equal(t, len(h.scheduleStarts()), 1)
+}
+
+// The same for a new owner, which has not seen the restart.
+func TestLeaseOfAYoungExecutorMayBeTheLongest(t *testing.T) {
+	for age, isHeld := range map[time.Duration]bool{time.Second: true, 4 * time.Second: true, time.Minute: false} {
+		h := newHarness(t, 1)
+		born := h.now.Add(-age).Millis()
+		h.s.Register(bwexecutor.Registration{ID: "young", Incarnation: born, Pool: "p", Capacity: bwjob.Resources{CPU: 1000, MemoryMB: 8000}})
+		h.s.Executor("young").SetAdmitted(true)
+		h.s.AwaitExecutor("young", h.now)
+		h.submit("j", newStep(1000, 1))
+		task := bwjob.TaskID{Job: "j"}
+		h.report("young", bwexecutor.Report{Incarnation: born, Running: []bwexecutor.RunStatus{{Task: task, Run: 1, Percent: 100}}})
+		h.s.Executor("young").RecordMissedReport()
+		h.advance(5 * time.Second)
+		h.report("e0", bwexecutor.Report{Incarnation: 1})
+		h.s.Expire(h.now, h.now)
+		assert.Equal(t, len(h.scheduleStarts()) == 0, isHeld, "age %s", age)
+	}
+}
