bwschedule: a stopped start is stopped again after a restart

A late order to start reached an executor that had restarted under its ID after it had acknowledged the stop of that run, and ran beside the run that had been started elsewhere.

Cause: an acknowledged stop, the end of a start's lease and a 421 prove something for one life of an executor. The owner took them as proofs for good and forgot the start.

Change: the owner remembers released starts without an answer for 15 s. When their executor reports as another incarnation, they return to its ledger and are stopped again.

Why it works: the next life bars the run too, before a late order arrives, unless that comes before its first report; then the run is listed there and stopped.

Evidence: TestStoppedStartIsStoppedAgainAfterARestart failed before and passes.

--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -29,6 +29,7 @@
 	s.resolveProbations(id, r.Incarnation, now)
 	e.TakeLostRuns()
 	e.RecordReport(r.Incarnation, now)
+	s.recallReleasedStarts(e, now)
 	for _, end := range r.Ended {
 		if e.MarkEndSeen(end.Number) {
 			s.handleEnd(e, end.End, now)
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -42,6 +42,7 @@
 	for _, run := range e.Runs() {
 		if inFlight[run.Task] == nil {
 			s.recordRelease(e, run, restarted, now)
+			s.recordReleasedStart(e, run, now)
 		}
 	}
 	lost := append(e.TakeLostRuns(), e.Reset()...)
--- a/bwschedule/restart_test.go
+++ b/bwschedule/restart_test.go
@@ -161,3 +161,63 @@
 		assert.Equal(t, len(h.scheduleStarts()) == 0, isHeld, "age %s", age)
 	}
 }
+
+// Guards against a task that runs twice because a late start, whose stop an executor has acknowledged, reaches the
+// executor after it has restarted.
+func TestStoppedStartIsStoppedAgainAfterARestart(t *testing.T) {
+	for name, release := range map[string]func(h *harness, o bwschedule.Order){
+		"stop acknowledged": func(h *harness, o bwschedule.Order) {
+			h.advance(500 * time.Millisecond)
+			h.report("e0", bwexecutor.Report{Incarnation: 1})
+			for _, order := range h.s.Schedule(h.now) {
+				assert.Equal(h.t, order.Kind, bwschedule.Stop)
+				h.s.HandleResult(order, bwschedule.Accepted, h.now)
+			}
+			h.advance(20 * time.Millisecond)
+			h.report("e0", bwexecutor.Report{Incarnation: 1})
+		},
+		"lease ended": func(h *harness, o bwschedule.Order) {
+			h.advance(6 * time.Second)
+			h.s.Expire(h.now, h.now)
+		},
+		"another executor at the address": func(h *harness, o bwschedule.Order) { h.s.HandleRestart("e0", h.now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.submit("j", newStep(1000, 1))
+			o := h.s.Schedule(h.now)[0]
+			h.s.RecordStartLease(o, h.now.Add(lease).Millis())
+			h.s.HandleResult(o, bwschedule.Unanswered, h.now)
+			release(h, o)
+			h.register("e1", bwjob.Resources{CPU: 8000, MemoryMB: 8000})
+			h.s.Executor("e0").Cordon(h.now.Add(time.Minute))
+			again := h.scheduleStarts()
+			assert.Equal(t, len(again), 1)
+			assert.Equal(t, again[0].Executor, "e1")
+
+			h.crash("e0")
+			orders := h.s.Schedule(h.now)
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, orders[0].Kind, bwschedule.Stop)
+			assert.Equal(t, orders[0].Executor, "e0")
+			assert.Equal(t, orders[0].Run, o.Run)
+			h.s.HandleResult(orders[0], bwschedule.Accepted, h.now)
+			h.advance(20 * time.Millisecond)
+			h.report("e0", bwexecutor.Report{Incarnation: 2})
+			assert.Assert(t, h.s.Executor("e0").Run(o.Task) == nil)
+			assert.Assert(t, h.s.Executor("e1").Run(o.Task) != nil)
+			// The next restart is the same.
+			h.crash("e0")
+			orders = h.s.Schedule(h.now)
+			assert.Equal(t, len(orders), 1)
+			h.s.HandleResult(orders[0], bwschedule.Accepted, h.now)
+			// An order is not executed any more after such a time.
+			h.advance(15 * time.Second)
+			h.report("e0", bwexecutor.Report{Incarnation: 3})
+			h.crash("e0")
+			for _, order := range h.s.Schedule(h.now) {
+				assert.Assert(t, order.Executor != "e0", "%+v", order)
+			}
+		})
+	}
+}
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -80,6 +80,8 @@
 	onRelease func(reason string)
 	// maxLease is the longest lease that an executor grants.
 	maxLease time.Duration
+	// releasedStarts holds, by executor, the recently released runs whose starts had no answer.
+	releasedStarts map[string][]releasedStart
 }
 
 // Option configures a Scheduler.
@@ -128,6 +130,8 @@
 		suspects:  newSuspects(),
 		rackWaits: make(map[string]map[StepID]bwclock.Time),
 
+		releasedStarts: make(map[string][]releasedStart),
+
 		isCapacityKnown: true,
 		crossRackFactor: defaultCrossRackFactor,
 		onRelease:       func(string) {},
@@ -398,6 +402,9 @@
 // releaseRun removes a run that is certain not to run on the executor, now or later.
 func (s *Scheduler) releaseRun(e *bwexecutor.Executor, r *bwexecutor.Run, reason releaseReason, now bwclock.Time) {
 	s.recordRelease(e, r, reason, now)
+	if reason != startRefused {
+		s.recordReleasedStart(e, r, now)
+	}
 	e.Remove(r.Task)
 	if j := s.jobs[r.Task.Job]; j != nil && !r.IsOrphaned {
 		j.Release(r.Task, e.ID())
