bwcommit: a conflict that nothing explains is retried with pauses

A conflict whose items match all expectations was taken for one of an outdated write, of which there was none, and the transaction was sent again at once. The expected time of a request for advice had no limit either.

Change: such a conflict waits like a failure; a request for advice is given up after half a minute more than a call may take.

Evidence: TestUnexplainedConflictIsRetriedWithPauses does not end without the change. No store has been seen to answer so.

--- a/bwcommit/committer.go
+++ b/bwcommit/committer.go
@@ -265,13 +265,15 @@
 				c.handleConflict(r, batch, mayBeStored)
 				return false
 			}
-			// An earlier attempt that the service applies late has the same expectations.
-			mayBeStored = false
-			if batch = c.completeOutdated(r, batch); len(batch) == 0 {
-				c.finishBatch()
-				return true
+			if remaining := c.completeOutdated(r, batch); len(remaining) < len(batch) {
+				// An earlier attempt that the service applies late fails by the same expectations.
+				batch, mayBeStored = remaining, false
+				if len(batch) == 0 {
+					c.finishBatch()
+					return true
+				}
+				continue
 			}
-			continue
 		case bwkv.Unanswered:
 			mayBeStored = true
 		}
@@ -317,7 +319,7 @@
 	return w
 }
 
-// isGuardKept reports whether a conflict is not one of the keys that guard all writes.
+// isGuardKept reports whether the keys that guard all writes have not caused a conflict.
 func (c *Committer) isGuardKept(r bwkv.Result) bool {
 	return r.ItemOf(c.guard.OwnerKey).Revision == c.guard.OwnerRevision && r.ItemOf(c.guard.SequenceKey).Revision == c.guard.SequenceRevision
 }
--- a/bwcommit/expected_test.go
+++ b/bwcommit/expected_test.go
@@ -8,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"basilwood.example/basilwood/bwclock"
 	"basilwood.example/basilwood/bwcommit"
 	"basilwood.example/basilwood/bwkv"
 	"basilwood.example/basilwood/bwstandin"
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 )
 
@@ -129,3 +131,31 @@
 		})
 	}
 }
+
+// contradictoryStore reports a conflict for each transaction, with items that match all expectations.
+type contradictoryStore struct{ calls int }
+
+func (s *contradictoryStore) Transact(_ context.Context, t bwkv.Transaction) bwkv.Result {
+	s.calls++
+	r := bwkv.Result{Outcome: bwkv.Conflict}
+	for _, e := range t.Expected {
+		r.Items = append(r.Items, bwkv.Item{Key: e.Key, Revision: e.Revision})
+	}
+	return r
+}
+
+// Guards against a committer that calls the store without a pause after a conflict that it cannot explain.
+func TestUnexplainedConflictIsRetriedWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &contradictoryStore{}
+		guard := bwcommit.Guard{OwnerKey: "owner", OwnerRevision: 1, SequenceKey: "sequence", SequenceRevision: 2}
+		c := bwcommit.New(store, guard, bwclock.New(), hclog.NewNullLogger(), func(string) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		c.Add(bwcommit.Write{Key: "jobs/1", Expected: []bwkv.Expectation{{Key: "version", Revision: 3}}})
+		time.Sleep(3 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, store.calls > 1 && store.calls < 30, "%d calls", store.calls)
+	})
+}
--- a/bwschedule/advice.go
+++ b/bwschedule/advice.go
@@ -18,6 +18,8 @@
 	adviceRetryInterval = 500 * time.Millisecond
 	// ticketExpiryMargin is how long before its expiry a ticket is no longer used.
 	ticketExpiryMargin = 300 * time.Millisecond
+	// maxExpectedTime limits how long the policy service is expected to need for a request.
+	maxExpectedTime = 30 * time.Second
 	// minTicketUse is the minimum time for which tickets must be usable. It covers a scheduling pass and the
 	// transmission of the start orders.
 	minTicketUse = 200 * time.Millisecond
@@ -124,7 +126,7 @@
 
 // durationOf returns how long the policy service needs for a request that names a number of executors.
 func durationOf(times bwfleet.AdviceTimes, executors int) time.Duration {
-	return bwclock.AddDurations(times.Decision, bwclock.Scale(times.PerExecutor, float64(executors)))
+	return min(maxExpectedTime, bwclock.AddDurations(times.Decision, bwclock.Scale(times.PerExecutor, float64(executors))))
 }
 
 // usableLifetime returns how long a ticket is used after it was issued.
