--- a/bwnode/claims.go
+++ b/bwnode/claims.go
@@ -214,7 +214,7 @@
 		Store:                n.deps.Store,
 		Executors:            relays,
 		IsRelayed:            relays.IsRelayed,
-		Adviser:              n.deps.Adviser,
+		Adviser:              n.adviser,
 		Clock:                n.deps.Clock,
 		Log:                  n.deps.Log,
 		Metrics:              n.deps.Metrics.Owner(),
--- a/bwnode/node.go
+++ b/bwnode/node.go
@@ -152,6 +152,7 @@
 	operatorKeys        *bwmirror.Mirror
 	executorKeys        *bwmirror.Mirror
 	placements          *placements
+	adviser             *turnAdviser
 	goroutines          sync.WaitGroup
 	// decodedExecutors holds the valid registrations by key. Only the goroutine of the
 	// executors' mirror uses it.
@@ -200,6 +201,7 @@
 	}
 	n.log = deps.Log.With("node", identity.Name)
 	n.placements = &placements{store: deps.Store, log: n.log}
+	n.adviser = newTurnAdviser(deps.Adviser)
 	n.calls = newCallTracker(n.log)
 	n.lease = newLease(deps.Store, deps.Clock, n.log, n.register)
 	self := bwownership.Member{Incarnation: n.incarnation, Address: identity.Address, Cores: identity.Cores}
