bwschedule: a new owner waits for all ends of an executor

Cause: a new owner stopped waiting for an executor with its first report, which lists 500 ends. Tasks of which a report says nothing counted as never run.

Change: an executor is awaited until a report lists all ends that are not acknowledged, or its lease is over.

Why it works: ends are acknowledged once they are stored, and each report brings the next 500; tasks of loaded jobs are started after the last.

Evidence: TestNewOwnerWaitsForAllEndsOfAnExecutor failed before and passes.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -104,7 +104,9 @@
 	leaseHeldUntil bwclock.Time
 	reportedAt     bwclock.Time
 	// reportedSince is the time of the first report of the current incarnation.
-	reportedSince   bwclock.Time
+	reportedSince bwclock.Time
+	// listedAllAt is the time of the first report of the current incarnation that listed all ends.
+	listedAllAt     bwclock.Time
 	hasReported     bool
 	isReportMissing bool
 
@@ -240,7 +242,7 @@
 // RecordReport records that a report arrived at now.
 func (e *Executor) RecordReport(incarnation int64, now bwclock.Time) {
 	if !e.hasReported {
-		e.reportedSince = now
+		e.reportedSince, e.listedAllAt = now, bwclock.Never
 	}
 	e.incarnation = incarnation
 	e.hasReported = true
@@ -248,6 +250,17 @@
 	e.isReportMissing = false
 }
 
+// RecordCompleteReport records that the latest report listed all ends that are not acknowledged.
+func (e *Executor) RecordCompleteReport(now bwclock.Time) {
+	if e.listedAllAt == bwclock.Never {
+		e.listedAllAt = now
+	}
+}
+
+// ListedAllAt returns the time of the first report of the current incarnation that listed all ends that were not
+// acknowledged, or Never.
+func (e *Executor) ListedAllAt() bwclock.Time { return e.listedAllAt }
+
 // RecordMissedReport records that a report failed. The executor may have restarted, so it
 // gets no new tasks until the next report shows its incarnation.
 func (e *Executor) RecordMissedReport() { e.isReportMissing = true }
--- a/bwschedule/handover_test.go
+++ b/bwschedule/handover_test.go
@@ -222,3 +222,51 @@
 		n.advance(10 * time.Millisecond)
 	}
 }
+
+// Guards against tasks that are started again by a new owner because their ends are beyond those that one report lists.
+func TestNewOwnerWaitsForAllEndsOfAnExecutor(t *testing.T) {
+	const tasks, reported = 600, 500
+	h := newHarness(t, 0)
+	h.s.LoadJob(bwjob.New(&bwjob.Spec{ID: "old", Queue: "q", Steps: []bwjob.Step{newStep(1, tasks)}}, h.now))
+	h.s.AwaitExecutor("e0", h.now.Add(lease))
+	h.s.AwaitExecutor("e1", h.now.Add(lease))
+	var ends []bwexecutor.NumberedEnd
+	for n := range tasks {
+		ends = append(ends, bwexecutor.NumberedEnd{Number: int64(n + 1),
+			End: bwjob.End{Task: bwjob.TaskID{Job: "old", Index: n}, Run: 1, Kind: bwjob.EndDone}})
+	}
+	h.register("e1", bwjob.Resources{CPU: 4000, MemoryMB: 800000})
+	h.s.Register(bwexecutor.Registration{ID: "e0", Incarnation: 1, Pool: "p", Capacity: bwjob.Resources{CPU: 4000, MemoryMB: 800000}})
+	h.s.Executor("e0").SetAdmitted(true)
+	for range 50 {
+		// The ends of the first reports are not acknowledged yet.
+		h.report("e0", bwexecutor.Report{Incarnation: 1, Ended: ends[:reported]})
+		h.report("e1", bwexecutor.Report{Incarnation: 1})
+		h.s.Expire(h.now, h.now)
+		assert.Equal(t, len(h.scheduleStarts()), 0)
+		h.advance(100 * time.Millisecond)
+	}
+	h.report("e0", bwexecutor.Report{Incarnation: 1, Ended: ends[reported:]})
+	h.s.Expire(h.now, h.now)
+	assert.Equal(t, len(h.scheduleStarts()), 0)
+	assert.Equal(t, h.s.Job("old").Phase(), bwjob.Phase_done)
+}
+
+// A new owner does not wait for an executor that has not listed all ends and whose lease is over.
+func TestNewOwnerGivesUpAnExecutorThatStopsListing(t *testing.T) {
+	h := newHarness(t, 0)
+	h.s.LoadJob(bwjob.New(&bwjob.Spec{ID: "old", Queue: "q", Steps: []bwjob.Step{newStep(1, 600)}}, h.now))
+	h.s.AwaitExecutor("e0", h.now.Add(lease))
+	var ends []bwexecutor.NumberedEnd
+	for n := range 500 {
+		ends = append(ends, bwexecutor.NumberedEnd{Number: int64(n + 1),
+			End: bwjob.End{Task: bwjob.TaskID{Job: "old", Index: n}, Run: 1, Kind: bwjob.EndDone}})
+	}
+	h.s.Register(bwexecutor.Registration{ID: "e0", Incarnation: 1, Pool: "p", Capacity: bwjob.Resources{CPU: 4000, MemoryMB: 800000}})
+	h.report("e0", bwexecutor.Report{Incarnation: 1, Ended: ends})
+	h.register("e1", bwjob.Resources{CPU: 4000, MemoryMB: 800000})
+	h.advance(12 * time.Second)
+	h.report("e1", bwexecutor.Report{Incarnation: 1})
+	h.s.Expire(h.now, h.now)
+	assert.Equal(t, len(h.scheduleStarts()), 100)
+}
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -41,6 +41,7 @@
 		s.handleStatus(e, status, now)
 	}
 	if len(r.Ended) < maxReportedEnds {
+		e.RecordCompleteReport(now)
 		s.reconcileUnlisted(e, listed, sentAt, now)
 	}
 }
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -335,10 +335,17 @@
 	return false
 }
 
-// hasReportedBy reports whether the current incarnation of an executor had reported by the given time.
-func (s *Scheduler) hasReportedBy(id string, at bwclock.Time) bool {
+// hasListedAllBy reports whether the current incarnation of an executor had reported all of its runs and ends by the
+// given time. A report lists a limited number of ends.
+func (s *Scheduler) hasListedAllBy(id string, at bwclock.Time) bool {
 	e := s.executors[id]
-	return e != nil && e.HasReported() && !at.Before(e.ReportedSince())
+	return e != nil && e.HasReported() && e.ListedAllAt() != bwclock.Never && !at.Before(e.ListedAllAt())
+}
+
+// isListing reports whether an executor has reported, but not all of its ends yet, while its lease lasts.
+func (s *Scheduler) isListing(id string, at bwclock.Time) bool {
+	e := s.executors[id]
+	return e != nil && e.HasReported() && e.ListedAllAt() == bwclock.Never && !e.HasLeaseExpired(at)
 }
 
 // Expire releases the tasks of executors whose leases had expired at ownedAt and stops awaiting executors that had
@@ -348,9 +355,9 @@
 func (s *Scheduler) Expire(ownedAt, now bwclock.Time) []string {
 	for id, until := range s.awaited {
 		switch {
-		case s.hasReportedBy(id, ownedAt):
+		case s.hasListedAllBy(id, ownedAt):
 			delete(s.awaited, id)
-		case !ownedAt.Before(until):
+		case !ownedAt.Before(until) && !s.isListing(id, ownedAt):
 			delete(s.awaited, id)
 			s.log.Warn("executor of the previous owner did not report until its lease ended", "executor", id,
 				"ownedAge", age(ownedAt, now))
