bwschedule: a new owner learns the age of an executor while it waits

A node that has owned no pool yet reads the registrations after it has loaded its first one, and took the start of listed executors for unknown then.

Change: the end of the wait is computed from the registration that is known at the time.

Evidence: TestNewOwnerWaitsForTheLongestLeaseOfARestartedExecutor, "registry read later", failed before and passes.

--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -136,9 +136,8 @@
 	wait := o.ownership.PreviousOwnerGrace + lease + lease*leaseDriftPercent/100 + leaseMargin
 	until := o.deps.Clock.Now().Add(wait)
 	for _, target := range listed {
-		r, isRegistered := o.registrations[target.ID]
-		o.scheduler.AwaitExecutor(target.ID, max(until, o.scheduler.LongestLeaseEnd(r.Incarnation)))
-		if !isRegistered {
+		o.scheduler.AwaitExecutor(target.ID, until)
+		if _, ok := o.registrations[target.ID]; !ok {
 			// An executor that the registry no longer lists may still run tasks.
 			o.scheduler.Register(bwexecutor.Registration{ID: target.ID, Address: target.Address, Pool: o.ownership.Pool, IsDraining: true})
 			o.openSession(target)
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -24,7 +24,7 @@
 	}
 	if !e.HasReported() && s.IsAwaited(id) {
 		// The previous owner may have had calls in flight to an earlier incarnation.
-		e.HoldLease(s.LongestLeaseEnd(r.Incarnation))
+		e.HoldLease(s.longestLeaseEnd(r.Incarnation))
 	}
 	s.resolveProbations(id, r.Incarnation, now)
 	e.TakeLostRuns()
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -29,9 +29,9 @@
 	return s.maxLease + s.maxLease*maxLeaseDriftPercent/100
 }
 
-// LongestLeaseEnd returns a time by which a lease has ended that an incarnation of an executor granted by a call
+// longestLeaseEnd returns a time by which a lease has ended that an incarnation of an executor granted by a call
 // that was meant for its earlier incarnation.
-func (s *Scheduler) LongestLeaseEnd(incarnation int64) bwclock.Time {
+func (s *Scheduler) longestLeaseEnd(incarnation int64) bwclock.Time {
 	return bwclock.Time(incarnation).Add(restartNoticeTime + s.longestLease() + maxClockError)
 }
 
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -322,8 +322,8 @@
 // HasExpired reports whether the lease of an executor with runs, or the wait for an awaited executor, has
 // ended by the given time, so that Expire has something to release once the pool was owned then.
 func (s *Scheduler) HasExpired(at bwclock.Time) bool {
-	for _, until := range s.awaited {
-		if !at.Before(until) {
+	for id := range s.awaited {
+		if !at.Before(s.awaitedUntil(id)) {
 			return true
 		}
 	}
@@ -335,6 +335,16 @@
 	return false
 }
 
+// awaitedUntil returns the time by which the lease of an awaited executor has expired. An executor that has started
+// recently may have a longer one, which is known once its registration has been read.
+func (s *Scheduler) awaitedUntil(id string) bwclock.Time {
+	until := s.awaited[id]
+	if e := s.executors[id]; e != nil {
+		until = max(until, s.longestLeaseEnd(e.Registration().Incarnation))
+	}
+	return until
+}
+
 // hasListedAllBy reports whether the current incarnation of an executor had reported all of its runs and ends by the
 // given time. A report lists a limited number of ends.
 func (s *Scheduler) hasListedAllBy(id string, at bwclock.Time) bool {
@@ -353,11 +363,11 @@
 // owned the pool: afterwards another owner may have extended leases or taken note of ends. Expire removes executors
 // that are unregistered and run nothing, and returns their IDs.
 func (s *Scheduler) Expire(ownedAt, now bwclock.Time) []string {
-	for id, until := range s.awaited {
+	for id := range s.awaited {
 		switch {
 		case s.hasListedAllBy(id, ownedAt):
 			delete(s.awaited, id)
-		case !ownedAt.Before(until) && !s.isListing(id, ownedAt):
+		case !ownedAt.Before(s.awaitedUntil(id)) && !s.isListing(id, ownedAt):
 			delete(s.awaited, id)
 			s.log.Warn("executor of the previous owner did not report until its lease ended", "executor", id,
 				"ownedAge", age(ownedAt, now))
