bwowner: the stored list says how long the lease of a restarted executor may last

Cause: the fix for leases that outlive a restart took each young executor for a restarted one. New executors, such as those of moved hosts, are young too and have no former life; all loaded tasks would wait up to 12.7 s for one that is cut off. Found by reading.

Change: an owner that notices a restart stores the end of the longest lease in the list of executors before the new life gets tasks; a new owner waits for that time, and for no other executor.

--- a/bwexecutor/executor.go
+++ b/bwexecutor/executor.go
@@ -334,6 +334,9 @@
 // HoldLease keeps the lease from counting as expired before the given time.
 func (e *Executor) HoldLease(until bwclock.Time) { e.leaseHeldUntil = max(e.leaseHeldUntil, until) }
 
+// LeaseHeldUntil returns the time before which the lease does not count as expired, or Never.
+func (e *Executor) LeaseHeldUntil() bwclock.Time { return e.leaseHeldUntil }
+
 // LeaseLeft returns how much of the recorded lease is left according to the estimate of the executor's clock,
 // without the allowance for drift. It is negative after the end. It returns false as long as that clock is unknown.
 func (e *Executor) LeaseLeft(now bwclock.Time) (time.Duration, bool) {
--- a/bwexecutor/registration.go
+++ b/bwexecutor/registration.go
@@ -19,8 +19,7 @@
 // Registration is an executor's entry in the registry.
 type Registration struct {
 	ID string
-	// Incarnation is the time at which the executor started, in milliseconds since the Unix epoch. It changes each
-	// time the executor restarts under the same ID.
+	// Incarnation changes each time the executor restarts under the same ID.
 	Incarnation int64
 	Pool        string
 	Address     string
--- a/bwowner/load.go
+++ b/bwowner/load.go
@@ -26,6 +26,8 @@
 	// hostOrderTime covers the time from a previous owner's confirmation that an executor is empty
 	// until the order to its host takes effect.
 	hostOrderTime = 1500 * time.Millisecond
+	// maxClockError is the difference between the clocks of hosts that is allowed for.
+	maxClockError = 500 * time.Millisecond
 	// listShrinkInterval is the minimum time before a write that only removes entries from the
 	// stored executor list.
 	listShrinkInterval = 500 * time.Millisecond
@@ -137,6 +139,9 @@
 	until := o.deps.Clock.Now().Add(wait)
 	for _, target := range listed {
 		o.scheduler.AwaitExecutor(target.ID, until)
+		if target.HeldUntil > 0 {
+			o.scheduler.HoldLease(target.ID, bwclock.Time(target.HeldUntil).Add(maxClockError))
+		}
 		if _, ok := o.registrations[target.ID]; !ok {
 			// An executor that the registry no longer lists may still run tasks.
 			o.scheduler.Register(bwexecutor.Registration{ID: target.ID, Address: target.Address, Pool: o.ownership.Pool, IsDraining: true})
@@ -222,12 +227,27 @@
 	var list []Target
 	for _, id := range o.scheduler.ExecutorIDs() {
 		if wanted[id] {
-			list = append(list, Target{ID: id, Address: o.scheduler.Executor(id).Registration().Address})
+			e := o.scheduler.Executor(id)
+			o.listedHolds[id] = e.LeaseHeldUntil()
+			target := Target{ID: id, Address: e.Registration().Address}
+			if now.Before(e.LeaseHeldUntil()) {
+				target.HeldUntil = e.LeaseHeldUntil().Millis()
+			}
+			list = append(list, target)
 		}
 	}
 	return list
 }
 
+// relistIfHeld withdraws an executor from the list if its lease may last longer than the list says. It gets tasks
+// once a list that says so is stored. The caller holds the lock.
+func (o *Owner) relistIfHeld(id string) {
+	if e := o.scheduler.Executor(id); e != nil && o.listedExecutors[id] > 0 && o.listedHolds[id].Before(e.LeaseHeldUntil()) {
+		delete(o.listedExecutors, id)
+		e.SetAdmitted(false)
+	}
+}
+
 // admitExecutors records that the list with a number has been stored, and allows tasks to be placed on its
 // executors unless a later list drops them.
 func (o *Owner) admitExecutors(number int64) {
--- a/bwowner/owner.go
+++ b/bwowner/owner.go
@@ -68,6 +68,9 @@
 type Target struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
+	// HeldUntil is the time until which the lease of a restarted executor may last, whatever its owner has granted,
+	// in milliseconds since the Unix epoch; 0 for others. Lists of earlier versions lack it.
+	HeldUntil int64 `json:"heldUntil,omitempty"`
 }
 
 // LeaseRenewal is a request that renews an executor's lease and asks for its report.
@@ -205,15 +208,17 @@
 	// listedExecutors holds the executors on the latest list, which may not be stored yet, with the number of the
 	// first of the successive lists that name them. storedList is the number of the list that was stored last.
 	listedExecutors map[string]int64
-	latestList      int64
-	storedList      int64
-	listChangedAt   bwclock.Time
-	isReady         bool
-	isStopping      bool
-	flushedAt       bwclock.Time
-	housekeptAt     bwclock.Time
-	sweptAt         bwclock.Time
-	latePassAt      bwclock.Time
+	// listedHolds holds the times until which, according to that list, the leases of executors may last.
+	listedHolds   map[string]bwclock.Time
+	latestList    int64
+	storedList    int64
+	listChangedAt bwclock.Time
+	isReady       bool
+	isStopping    bool
+	flushedAt     bwclock.Time
+	housekeptAt   bwclock.Time
+	sweptAt       bwclock.Time
+	latePassAt    bwclock.Time
 	// isUnconfirmed is set while the ownership is not confirmed and no orders are sent.
 	isUnconfirmed bool
 	// ownedAt is the latest time at which the owner's key is known to have been that of this owner. isReadingKey
@@ -249,6 +254,7 @@
 		yielded:            make(map[string]yieldedJob),
 		unreadable:         make(map[string]bool),
 		listedExecutors:    make(map[string]int64),
+		listedHolds:        make(map[string]bwclock.Time),
 	}
 }
 
--- a/bwowner/session.go
+++ b/bwowner/session.go
@@ -388,6 +388,7 @@
 		return true
 	case bwschedule.OtherIncarnation:
 		o.scheduler.HandleRestart(target.ID, now)
+		o.relistIfHeld(target.ID)
 		o.requestPass()
 	default:
 		if e := o.scheduler.Executor(target.ID); e != nil {
@@ -401,6 +402,7 @@
 // The caller holds the lock.
 func (o *Owner) handleReport(id string, r bwexecutor.Report, sent, now bwclock.Time) {
 	o.scheduler.HandleReport(id, r, sent, now)
+	o.relistIfHeld(id)
 	if e := o.scheduler.Executor(id); e != nil && o.ownedAt.Before(e.ReportedSince()) {
 		e.SetAdmitted(false)
 		o.hasNewIncarnation = true
--- a/bwschedule/report.go
+++ b/bwschedule/report.go
@@ -22,9 +22,8 @@
 		s.log.Info("executor has reported for the first time", "executor", id, "incarnation", r.Incarnation, "runs", len(r.Running),
 			"ends", len(r.Ended), "awaited", s.IsAwaited(id), "awaitedExecutors", len(s.awaited), "evidenceAge", age(sentAt, now))
 	}
-	if !e.HasReported() && s.IsAwaited(id) {
-		// The previous owner may have had calls in flight to an earlier incarnation.
-		e.HoldLease(s.longestLeaseEnd(r.Incarnation))
+	if !e.HasReported() {
+		e.HoldLease(s.heldLeases[id])
 	}
 	s.resolveProbations(id, r.Incarnation, now)
 	e.TakeLostRuns()
--- a/bwschedule/restart.go
+++ b/bwschedule/restart.go
@@ -17,11 +17,6 @@
 	defaultMaxLease = 10 * time.Second
 	// maxLeaseDriftPercent is how much slower an executor's clock may run.
 	maxLeaseDriftPercent = 2
-	// restartNoticeTime is how long after its start an executor may execute calls that were meant for its earlier
-	// incarnation: until a report has shown the restart.
-	restartNoticeTime = 2 * time.Second
-	// maxClockError is the difference between the clocks of hosts that is allowed for.
-	maxClockError = 500 * time.Millisecond
 )
 
 // longestLease returns how long the longest lease that an executor grants may last.
@@ -29,11 +24,9 @@
 	return s.maxLease + s.maxLease*maxLeaseDriftPercent/100
 }
 
-// longestLeaseEnd returns a time by which a lease has ended that an incarnation of an executor granted by a call
-// that was meant for its earlier incarnation.
-func (s *Scheduler) longestLeaseEnd(incarnation int64) bwclock.Time {
-	return bwclock.Time(incarnation).Add(restartNoticeTime + s.longestLease() + maxClockError)
-}
+// HoldLease keeps the lease of an awaited executor, whose restart a previous owner has noticed, from counting as
+// expired before the given time.
+func (s *Scheduler) HoldLease(id string, until bwclock.Time) { s.heldLeases[id] = until }
 
 // resetExecutor releases the tasks of an executor that has restarted, and records the crash. The runs in
 // inFlight keep their tasks, because their starts may still take effect.
--- a/bwschedule/restart_test.go
+++ b/bwschedule/restart_test.go
@@ -143,22 +143,20 @@
 	assert.Equal(t, len(h.scheduleStarts()), 1)
 }
 
-// The same for a new owner, which has not seen the restart.
-func TestLeaseOfAYoungExecutorMayBeTheLongest(t *testing.T) {
-	for age, isHeld := range map[time.Duration]bool{time.Second: true, 4 * time.Second: true, time.Minute: false} {
+// The same for a new owner, which knows from the previous one that the executor has restarted.
+func TestHeldLeaseOfAnExecutorOutlivesItsOwner(t *testing.T) {
+	for held, isHeld := range map[time.Duration]bool{0: false, 2 * time.Second: false, 8 * time.Second: true} {
 		h := newHarness(t, 1)
-		born := h.now.Add(-age).Millis()
-		h.s.Register(bwexecutor.Registration{ID: "young", Incarnation: born, Pool: "p", Capacity: bwjob.Resources{CPU: 1000, MemoryMB: 8000}})
-		h.s.Executor("young").SetAdmitted(true)
+		h.s.Register(bwexecutor.Registration{ID: "young", Incarnation: 1, Pool: "p", Capacity: bwjob.Resources{CPU: 1000, MemoryMB: 8000}})
 		h.s.AwaitExecutor("young", h.now)
+		h.s.HoldLease("young", h.now.Add(held))
 		h.submit("j", newStep(1000, 1))
-		task := bwjob.TaskID{Job: "j"}
-		h.report("young", bwexecutor.Report{Incarnation: born, Running: []bwexecutor.RunStatus{{Task: task, Run: 1, Percent: 100}}})
+		h.report("young", bwexecutor.Report{Incarnation: 1, Running: []bwexecutor.RunStatus{{Task: bwjob.TaskID{Job: "j"}, Run: 1, Percent: 100}}})
 		h.s.Executor("young").RecordMissedReport()
 		h.advance(5 * time.Second)
 		h.report("e0", bwexecutor.Report{Incarnation: 1})
 		h.s.Expire(h.now, h.now)
-		assert.Equal(t, len(h.scheduleStarts()) == 0, isHeld, "age %s", age)
+		assert.Equal(t, len(h.scheduleStarts()) == 0, isHeld, "held for %s", held)
 	}
 }
 
--- a/bwschedule/scheduler.go
+++ b/bwschedule/scheduler.go
@@ -80,6 +80,8 @@
 	onRelease func(reason string)
 	// maxLease is the longest lease that an executor grants.
 	maxLease time.Duration
+	// heldLeases holds the times before which the leases of awaited executors do not count as expired.
+	heldLeases map[string]bwclock.Time
 	// releasedStarts holds, by executor, the recently released runs whose starts had no answer.
 	releasedStarts map[string][]releasedStart
 }
@@ -130,6 +132,7 @@
 		suspects:  newSuspects(),
 		rackWaits: make(map[string]map[StepID]bwclock.Time),
 
+		heldLeases:     make(map[string]bwclock.Time),
 		releasedStarts: make(map[string][]releasedStart),
 
 		isCapacityKnown: true,
@@ -335,15 +338,8 @@
 	return false
 }
 
-// awaitedUntil returns the time by which the lease of an awaited executor has expired. An executor that has started
-// recently may have a longer one, which is known once its registration has been read.
-func (s *Scheduler) awaitedUntil(id string) bwclock.Time {
-	until := s.awaited[id]
-	if e := s.executors[id]; e != nil {
-		until = max(until, s.longestLeaseEnd(e.Registration().Incarnation))
-	}
-	return until
-}
+// awaitedUntil returns the time by which the lease of an awaited executor has expired.
+func (s *Scheduler) awaitedUntil(id string) bwclock.Time { return max(s.awaited[id], s.heldLeases[id]) }
 
 // hasListedAllBy reports whether the current incarnation of an executor had reported all of its runs and ends by the
 // given time. A report lists a limited number of ends.
